--- /dev/null
+++ b/control/consensus/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the messages between members of the control group.
+package wire
--- /dev/null
+++ b/control/doc.go
@@ -0,0 +1,2 @@
+// Control holds the fleet's durable state, replicated over the control group.
+package main
--- /dev/null
+++ b/control/replica/machine.go
@@ -0,0 +1,25 @@
+package replica
+
+import (
+	"time"
+
+	"cuminfall.example/fleet/ident"
+)
+
+// Entry is a committed log entry as the state machine sees it.
+type Entry struct {
+	Index ident.Index
+	At    time.Duration // log time; advances with the leaders' monotonic clocks only
+	Wall  time.Time     // leader's wall clock, for the audit trail only
+	Data  []byte
+}
+
+// Machine is the replicated state; calls come one at a time.
+type Machine interface {
+	// Apply performs one entry and returns its result to the proposer.
+	Apply(e Entry) any
+	// Snapshot serializes the state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot's.
+	Restore(state []byte) error
+}
--- /dev/null
+++ b/cuminfall/doc.go
@@ -0,0 +1,2 @@
+// Cuminfall is the operators' command line.
+package main
--- /dev/null
+++ b/cuminfall/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Entry answers look-ups and passes callers' requests to upstreams.
+package main
--- /dev/null
+++ b/entry/router/event.go
@@ -0,0 +1,148 @@
+package router
+
+import (
+	"time"
+
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/rpc"
+)
+
+// RequestID tells the requests of one process apart.
+type RequestID uint64
+
+// KeyHash is the SHA-256 of a key's secret.
+type KeyHash [32]byte
+
+// Event is something that happened; events are passed as pointers so that none is allocated per decision.
+type Event interface{ event() }
+
+// Arrived reports a caller's request.
+type Arrived struct {
+	At       time.Time
+	ID       RequestID
+	Path     string
+	Key      ident.KeyID
+	Hash     KeyHash
+	Once     string      // the caller's idempotency key, or ""
+	Deadline time.Time   // end of the caller's time-out
+	Size     ident.Bytes // declared body size, or -1
+}
+
+// Claimed reports the answer to a Claim effect; Failure is set when control gave none.
+type Claimed struct {
+	At      time.Time
+	ID      RequestID
+	State   rpc.ClaimState
+	Failure *fault.Error
+}
+
+// Outcome is how one attempt at an upstream ended.
+type Outcome uint8
+
+// Outcomes of an attempt.
+const (
+	Answered  Outcome = iota + 1 // a whole answer was passed on
+	Unsent                       // no byte reached the upstream
+	Shed                         // the upstream refused and said that it did not run the request
+	Broken                       // failed after a byte was sent, with no byte of an answer passed on
+	Truncated                    // failed after part of an answer was passed on
+	Abandoned                    // the caller went away
+)
+
+// Ended reports the end of the attempt that a Send effect began. Fresh says
+// that the body can still be sent again from its start.
+type Ended struct {
+	At      time.Time
+	ID      RequestID
+	Outcome Outcome
+	Fresh   bool
+	Elapsed time.Duration // from the send to the first byte of the answer
+}
+
+// Transfer asks to move body bytes of a request over its link.
+type Transfer struct {
+	At    time.Time
+	ID    RequestID
+	Bytes ident.Bytes
+	Back  bool // from the upstream to the caller
+}
+
+// Cancelled reports that the caller of a waiting request went away.
+type Cancelled struct {
+	At time.Time
+	ID RequestID
+}
+
+// Synced reports control's answer to a session exchange that was begun at Sent.
+type Synced struct {
+	At    time.Time
+	Sent  time.Time
+	Reply *rpc.SyncReply
+}
+
+// Tick lets time pass; it is due every few milliseconds while requests wait.
+type Tick struct{ At time.Time }
+
+// Stopping begins a planned stop.
+type Stopping struct{ At time.Time }
+
+func (*Arrived) event()   {}
+func (*Claimed) event()   {}
+func (*Ended) event()     {}
+func (*Transfer) event()  {}
+func (*Cancelled) event() {}
+func (*Synced) event()    {}
+func (*Tick) event()      {}
+func (*Stopping) event()  {}
+
+// Effect is something that the caller must do; an effect is valid until the next Step for its request.
+type Effect interface{ effect() }
+
+// Refuse answers a request with an error; it is the last effect for the request.
+type Refuse struct {
+	ID    RequestID
+	Fault *fault.Error
+}
+
+// Claim asks control for the right to run a non-idempotent request.
+type Claim struct {
+	ID        RequestID
+	Workspace ident.Workspace
+	Service   ident.Service
+}
+
+// Send begins one attempt at an upstream and is answered with Ended.
+type Send struct {
+	ID          RequestID
+	Endpoint    ident.Address
+	Incarnation ident.Incarnation
+	Workspace   ident.Workspace
+	Service     ident.Service
+	Once        bool        // non-idempotent
+	Body        ident.Bytes // largest body
+	Linked      bool        // body bytes need Transfer first
+	Deadline    time.Time
+}
+
+// Wait tells a transfer to ask again after a delay; without it the bytes may move.
+type Wait struct {
+	ID    RequestID
+	Delay time.Duration
+}
+
+// Done says that nothing more follows for a request whose answer was passed on, cut or abandoned.
+type Done struct {
+	ID        RequestID
+	Truncated bool // the caller's connection must be aborted
+}
+
+// Ask wants a session exchange at once, because requests wait for a share.
+type Ask struct{}
+
+func (*Refuse) effect() {}
+func (*Claim) effect()  {}
+func (*Send) effect()   {}
+func (*Wait) effect()   {}
+func (*Done) effect()   {}
+func (*Ask) effect()    {}
--- /dev/null
+++ b/fleet/clock/clock.go
@@ -0,0 +1,41 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Clock reads time and waits.
+type Clock interface {
+	// Now returns the current time with a monotonic reading.
+	Now() time.Time
+	// After returns a channel that receives the time once d has passed.
+	After(d time.Duration) <-chan time.Time
+	// Every returns a channel that receives the time each d, and a function that stops it.
+	Every(d time.Duration) (<-chan time.Time, func())
+}
+
+// System is the machine's clock; its zero value is ready for use.
+type System struct{}
+
+// Now implements Clock.
+func (System) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// Every implements Clock.
+func (System) Every(d time.Duration) (<-chan time.Time, func()) {
+	t := time.NewTicker(d)
+	return t.C, t.Stop
+}
+
+// Sleep waits for d or until ctx ends, and returns the context's error in the latter case.
+func Sleep(ctx context.Context, c Clock, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/fleet/clock/clock_fake.go
@@ -0,0 +1,78 @@
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Fake is a clock that moves only by Advance; its zero value starts at the zero time.
+type Fake struct {
+	mu     sync.Mutex
+	now    time.Time
+	timers []*fakeTimer
+}
+
+type fakeTimer struct {
+	at      time.Time
+	every   time.Duration
+	ch      chan time.Time
+	stopped bool
+}
+
+// Now implements Clock.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// After implements Clock.
+func (f *Fake) After(d time.Duration) <-chan time.Time {
+	ch, _ := f.add(d, 0)
+	return ch
+}
+
+// Every implements Clock.
+func (f *Fake) Every(d time.Duration) (<-chan time.Time, func()) {
+	return f.add(d, d)
+}
+
+func (f *Fake) add(d, every time.Duration) (<-chan time.Time, func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := &fakeTimer{at: f.now.Add(d), every: every, ch: make(chan time.Time, 1)}
+	f.timers = append(f.timers, t)
+	return t.ch, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		t.stopped = true
+	}
+}
+
+// Advance moves the clock by d and fires the timers that fall due.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+	live := f.timers[:0]
+	for _, t := range f.timers {
+		if t.stopped {
+			continue
+		}
+		if t.at.After(f.now) {
+			live = append(live, t)
+			continue
+		}
+		select {
+		case t.ch <- f.now:
+		default:
+		}
+		if t.every > 0 {
+			for !t.at.After(f.now) {
+				t.at = t.at.Add(t.every)
+			}
+			live = append(live, t)
+		}
+	}
+	f.timers = live
+}
--- /dev/null
+++ b/fleet/ident/doc.go
@@ -0,0 +1,2 @@
+// Package ident names the ids and units that all programs share.
+package ident
--- /dev/null
+++ b/fleet/limit/limit.go
@@ -0,0 +1,129 @@
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Bucket is a share of a flow; its zero value has nothing to spend.
+type Bucket struct {
+	rate   float64 // tokens per second
+	burst  float64
+	tokens float64
+	filled time.Time // when tokens was last brought up to date
+	until  time.Time // end of the lease
+}
+
+// Resize gives the bucket a new share; tokens are cut to the burst and never added.
+func (b *Bucket) Resize(now time.Time, rate, burst float64) {
+	b.fill(now)
+	b.rate = rate
+	b.burst = burst
+	b.tokens = math.Min(b.tokens, burst)
+}
+
+// Renew extends the lease to until. After a lapse the bucket starts empty,
+// because the lender may have lent the burst to another holder meanwhile.
+func (b *Bucket) Renew(now, until time.Time) {
+	b.fill(now)
+	if until.After(b.until) {
+		b.until = until
+	}
+}
+
+// fill adds what accrued since the last call. Nothing accrues without a lease.
+func (b *Bucket) fill(now time.Time) {
+	if !now.Before(b.until) {
+		b.tokens = 0
+		b.filled = now
+		return
+	}
+	if now.After(b.filled) {
+		b.tokens = math.Min(b.burst, b.tokens+b.rate*now.Sub(b.filled).Seconds())
+		b.filled = now
+	}
+}
+
+// Take spends n tokens if the lease lives and they are there.
+func (b *Bucket) Take(now time.Time, n float64) bool {
+	b.fill(now)
+	if b.tokens < n || !now.Before(b.until) {
+		return false
+	}
+	b.tokens -= n
+	return true
+}
+
+// Return gives back n tokens that were taken and not used.
+func (b *Bucket) Return(now time.Time, n float64) {
+	b.fill(now)
+	if now.Before(b.until) {
+		b.tokens = math.Min(b.burst, b.tokens+n)
+	}
+}
+
+// Ready returns how long it takes until n tokens are there, or false when
+// the share can never hold n.
+func (b *Bucket) Ready(now time.Time, n float64) (time.Duration, bool) {
+	b.fill(now)
+	if b.tokens >= n {
+		return 0, true
+	}
+	if b.burst < n || b.rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(math.Ceil((n - b.tokens) / b.rate * float64(time.Second))), true
+}
+
+// Tokens returns what can be spent now.
+func (b *Bucket) Tokens(now time.Time) float64 {
+	b.fill(now)
+	return b.tokens
+}
+
+// Counter is a share of a count; its zero value has nothing to take.
+type Counter struct {
+	share uint32
+	used  uint32
+	until time.Time // end of the lease
+}
+
+// Resize gives the counter a new share; more than the share may stay in use until it is released.
+func (c *Counter) Resize(share uint32) { c.share = share }
+
+// Renew extends the lease to until.
+func (c *Counter) Renew(until time.Time) {
+	if until.After(c.until) {
+		c.until = until
+	}
+}
+
+// Take uses one unit if the lease lives and one is free.
+func (c *Counter) Take(now time.Time) bool {
+	if c.used >= c.share || !now.Before(c.until) {
+		return false
+	}
+	c.used++
+	return true
+}
+
+// Release gives one unit back.
+func (c *Counter) Release() {
+	if c.used > 0 {
+		c.used--
+	}
+}
+
+// Used returns the units in use.
+func (c *Counter) Used() uint32 { return c.used }
+
+// Share returns the units of the share.
+func (c *Counter) Share() uint32 { return c.share }
+
+// Free returns the units that can be taken now.
+func (c *Counter) Free(now time.Time) uint32 {
+	if c.used >= c.share || !now.Before(c.until) {
+		return 0
+	}
+	return c.share - c.used
+}
--- /dev/null
+++ b/fleet/process/process.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"cuminfall.example/fleet/fault"
+)
+
+// Levels are the accepted log levels.
+var Levels = []string{"debug", "info", "warning", "error"}
+
+// NewLogger returns a structured JSON logger at the given level; an unknown level means info.
+func NewLogger(out io.Writer, level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		parsed = logrus.InfoLevel
+	}
+	log.SetLevel(parsed)
+	return log
+}
+
+// Stop returns a context that ends at SIGTERM or SIGINT.
+func Stop(parent context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(parent, syscall.SIGTERM, os.Interrupt)
+}
+
+// Admin returns the handler of the admin address: /metrics and /health.
+func Admin(registry metrics.Registry, healthy func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(registry, w)
+	})
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
+		if !healthy() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Listen opens a TCP listener; the error names the address.
+func Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, fault.Wrap(err, fault.Internal, "listen", address)
+}
+
+// Serve runs an HTTP server on l until it is shut down.
+func Serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fault.Wrap(err, fault.Internal, "serve", l.Addr().String())
+}
--- /dev/null
+++ b/fleet/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings loads a process's TOML settings file and reports all faults in it at once.
+package settings
--- /dev/null
+++ b/scenario/doc.go
@@ -0,0 +1,2 @@
+// Package scenario proves the fleet's guarantees by scripts over real processes.
+package scenario
