cuminfall: add the operators' command line

Cause: operators had no way to read or change the document. Change: noun-verb commands over the Operations service; each change carries the base revision that was read and an id, so it can be resent after a lost answer and never silently overwrites a concurrent one. Ruled out: retrying a conflict by itself, which would hide the other operator's change. Measured: not run against a control member yet.

--- /dev/null
+++ b/cuminfall/client/doc.go
@@ -0,0 +1,2 @@
+// Package client calls the control group for an operator, whichever member leads.
+package client
--- /dev/null
+++ b/cuminfall/command/auditlist/doc.go
@@ -0,0 +1,2 @@
+// Package auditlist implements "audit list".
+package auditlist
--- /dev/null
+++ b/cuminfall/command/documentapply/doc.go
@@ -0,0 +1,2 @@
+// Package documentapply implements "document apply".
+package documentapply
--- /dev/null
+++ b/cuminfall/command/documentshow/doc.go
@@ -0,0 +1,2 @@
+// Package documentshow implements "document show".
+package documentshow
--- /dev/null
+++ b/cuminfall/command/drainend/doc.go
@@ -0,0 +1,2 @@
+// Package drainend implements "drain end".
+package drainend
--- /dev/null
+++ b/cuminfall/command/drainlist/doc.go
@@ -0,0 +1,2 @@
+// Package drainlist implements "drain list".
+package drainlist
--- /dev/null
+++ b/cuminfall/command/drainstart/doc.go
@@ -0,0 +1,2 @@
+// Package drainstart implements "drain start".
+package drainstart
--- /dev/null
+++ b/cuminfall/command/keycreate/doc.go
@@ -0,0 +1,2 @@
+// Package keycreate implements "key create".
+package keycreate
--- /dev/null
+++ b/cuminfall/command/keyrestore/doc.go
@@ -0,0 +1,2 @@
+// Package keyrestore implements "key restore".
+package keyrestore
--- /dev/null
+++ b/cuminfall/command/keywithdraw/doc.go
@@ -0,0 +1,2 @@
+// Package keywithdraw implements "key withdraw".
+package keywithdraw
--- /dev/null
+++ b/cuminfall/command/memberremove/doc.go
@@ -0,0 +1,2 @@
+// Package memberremove implements "member remove".
+package memberremove
--- /dev/null
+++ b/cuminfall/command/servicecreate/doc.go
@@ -0,0 +1,2 @@
+// Package servicecreate implements "service create".
+package servicecreate
--- /dev/null
+++ b/cuminfall/command/servicecreate/servicecreate.go
@@ -0,0 +1,40 @@
+package servicecreate
+
+import (
+	"context"
+
+	"cuminfall.example/cuminfall/command"
+	"cuminfall.example/cuminfall/section"
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/ident"
+)
+
+// Options are the settings of one run.
+type Options struct {
+	section.Editor
+	Service document.Service
+}
+
+// New returns the command.
+func New(f *command.Factory) *command.Command {
+	o := &Options{Editor: section.Editor{Factory: f}}
+	fs := o.Flags("service create")
+	fs.StringVar(&o.Service.Prefix, "prefix", "", "path `prefix` of the service's requests, such as /forecast/")
+	fs.BoolVar(&o.Service.Once, "once", false, "requests are non-idempotent and run at most once")
+	fs.Int64Var((*int64)(&o.Service.Body), "body", int64(document.DefaultBody), "largest request body in `bytes`")
+	fs.DurationVar(&o.Service.Longest, "longest", document.DefaultLongest, "largest time-out of a request")
+	return &command.Command{
+		Noun: "service", Verb: "create", Args: "NAME", Short: "Create a service", Flags: fs,
+		Example: "cuminfall service create claims --prefix /claims/ --once",
+		Run:     o.run,
+	}
+}
+
+func (o *Options) run(ctx context.Context, args []string) error {
+	o.Service.Name = ident.Service(args[0])
+	return o.Change(ctx, document.ServicesSection, func(part document.Part) error {
+		services := part.(*document.Services)
+		services.Services = append(services.Services, o.Service)
+		return nil
+	})
+}
--- /dev/null
+++ b/cuminfall/command/servicelist/doc.go
@@ -0,0 +1,2 @@
+// Package servicelist implements "service list".
+package servicelist
--- /dev/null
+++ b/cuminfall/command/shiftend/doc.go
@@ -0,0 +1,2 @@
+// Package shiftend implements "shift end".
+package shiftend
--- /dev/null
+++ b/cuminfall/command/shiftlist/doc.go
@@ -0,0 +1,2 @@
+// Package shiftlist implements "shift list".
+package shiftlist
--- /dev/null
+++ b/cuminfall/command/shiftstart/doc.go
@@ -0,0 +1,2 @@
+// Package shiftstart implements "shift start".
+package shiftstart
--- /dev/null
+++ b/cuminfall/command/status/doc.go
@@ -0,0 +1,2 @@
+// Package status implements "status".
+package status
--- /dev/null
+++ b/cuminfall/command/verdictlist/doc.go
@@ -0,0 +1,2 @@
+// Package verdictlist implements "verdict list".
+package verdictlist
--- /dev/null
+++ b/cuminfall/command/workspacecreate/doc.go
@@ -0,0 +1,2 @@
+// Package workspacecreate implements "workspace create".
+package workspacecreate
--- /dev/null
+++ b/cuminfall/command/workspacelist/doc.go
@@ -0,0 +1,2 @@
+// Package workspacelist implements "workspace list".
+package workspacelist
--- /dev/null
+++ b/cuminfall/command/workspaceset/doc.go
@@ -0,0 +1,2 @@
+// Package workspaceset implements "workspace set".
+package workspaceset
--- /dev/null
+++ b/cuminfall/section/key.go
@@ -0,0 +1,21 @@
+package section
+
+import (
+	"context"
+
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+)
+
+// SetWithdrawn withdraws or restores the key of an id.
+func (e *Editor) SetWithdrawn(ctx context.Context, id string, withdrawn bool) error {
+	return e.Change(ctx, document.WorkspacesSection, func(part document.Part) error {
+		key := part.(*document.Workspaces).FindKey(ident.KeyID(id))
+		if key == nil {
+			return fault.New(fault.NotFound, "edit section", string(document.WorkspacesSection), "no key %q", id)
+		}
+		key.Withdrawn = withdrawn
+		return nil
+	})
+}
--- /dev/null
+++ b/cuminfall/table/doc.go
@@ -0,0 +1,2 @@
+// Package table prints lists for people and JSON for scripts.
+package table
