--- /dev/null
+++ b/fleet/document/examples_test.go
@@ -0,0 +1,34 @@
+package document_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cuminfall.example/fleet/document"
+)
+
+// Guards against example settings that no longer load.
+func TestExamplesLoad(t *testing.T) {
+	for _, deployment := range []string{"revontuli", "emberdeck"} {
+		t.Run(deployment, func(t *testing.T) {
+			is := is.New(t)
+			var d document.Document
+			for _, name := range []document.Section{
+				document.PlacesSection, document.ServicesSection, document.WorkspacesSection,
+			} {
+				text, err := os.ReadFile(filepath.Join("../../examples", deployment, string(name)+".toml"))
+				is.NoErr(err)
+				part, err := document.Parse(name, string(text))
+				is.NoErr(err)
+				d.Set(part)
+			}
+			is.NoErr(d.Check())
+			is.Equal(len(d.Places.Domains), 6)
+			is.Equal(len(d.Services.Services), 3)
+			is.Equal(len(d.Workspaces.Workspaces), 8)
+		})
+	}
+}
