--- /dev/null
+++ b/control/replica/status.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"cuminfall.example/control/consensus"
+	"cuminfall.example/fleet/ident"
+)
+
+// Status is what a member knows about the group.
+type Status struct {
+	ID        ident.Member
+	Role      consensus.Role
+	Term      ident.Term
+	Leader    ident.Address // empty if unknown
+	Committed ident.Index
+	Applied   ident.Index
+	Members   []Member
+	Cut       bool   // no contact with a majority, or with a leader
+	Failure   string // why the member stopped, or empty
+}
+
+// Member is one member of the group.
+type Member struct {
+	ID      ident.Member
+	Name    string
+	Address ident.Address
+	Voter   bool // false for a learner, which is still catching up
+}
+
+// Status returns what this member knows at this moment.
+func (r *Replica) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.node.Status(r.at())
+	s := Status{ID: r.id, Role: n.Role, Term: n.Term, Leader: n.Leader, Committed: n.Committed,
+		Applied: r.applied, Cut: n.Cut}
+	for _, m := range n.Members {
+		s.Members = append(s.Members, Member{ident.Member(m.Id), m.Name, ident.Address(m.Address), m.Voter})
+	}
+	if r.failure != nil {
+		s.Failure = r.failure.Error()
+	}
+	return s
+}
+
+// meters are the metrics of a member.
+type meters struct {
+	commits, syncs               metrics.Timer
+	synced, snapshots, exchanges metrics.Counter
+	failures                     metrics.Counter
+}
+
+func newMeters(registry metrics.Registry) meters {
+	return meters{
+		commits:   metrics.GetOrRegisterTimer("replica.commit", registry),
+		syncs:     metrics.GetOrRegisterTimer("replica.sync", registry),
+		synced:    metrics.GetOrRegisterCounter("replica.synced", registry),
+		snapshots: metrics.GetOrRegisterCounter("replica.snapshots", registry),
+		exchanges: metrics.GetOrRegisterCounter("replica.exchanges", registry),
+		failures:  metrics.GetOrRegisterCounter("replica.failures", registry),
+	}
+}
