control: add a thin ledger, lender and server

Change: the ledger reduces log entries to the document, audit trail, claims, upstreams, VMs and shares; the lender plans shares; the server holds the leader's soft state and the twirp services; the commands init and run read their settings. The interface gains Demand.used (without it a lowered count could be confirmed while more is in use), SyncReply.loads and ApplyReply.code. Ruled out: confirming a lowered count by the held version alone, because units taken before stay in use until released; releasing a lapsed holder by name only, because a late copy of the entry would drop its next registration.

--- a/control/main.go
+++ b/control/main.go
@@ -1,3 +1,67 @@
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"cuminfall.example/control/server/initcmd"
+	"cuminfall.example/control/server/runcmd"
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/process"
+	"cuminfall.example/fleet/settings"
+)
+
+const usage = `Control holds the fleet's durable state.
+
+Usage:
+  control init --settings FILE --owners FILE   write the first member of a new group
+  control run --settings FILE                  run a member
+`
+
+func main() {
+	ctx, stop := process.Stop(context.Background())
+	defer stop()
+	os.Exit(exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr), os.Stderr))
+}
+
+func run(ctx context.Context, args []string, out, errs io.Writer) error {
+	if len(args) == 0 {
+		return fault.New(fault.Usage, "control", "", "missing command\n\n%s", usage)
+	}
+	switch args[0] {
+	case "init":
+		o, err := initcmd.New(args[1:], out, errs, initFolder)
+		if err != nil {
+			return err
+		}
+		return o.Run()
+	case "run":
+		o, err := runcmd.New(args[1:], errs, clock.System{}, openMember)
+		if err != nil {
+			return err
+		}
+		return o.Run(ctx)
+	case "help", "--help", "-h":
+		_, err := fmt.Fprint(out, usage)
+		return errors.WithStack(err)
+	}
+	return fault.New(fault.Usage, "control", "", "unknown command %q\n\n%s", args[0], usage)
+}
+
+// exit prints the error and returns the process's exit code.
+func exit(err error, errs io.Writer) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintf(errs, "control: %v\n", err)
+	var problems *settings.Problems
+	if errors.As(err, &problems) {
+		return fault.Usage.Exit()
+	}
+	return fault.Of(err).Code.Exit()
+}
--- /dev/null
+++ b/control/server/operations.go
@@ -0,0 +1,104 @@
+package server
+
+import (
+	"context"
+
+	"cuminfall.example/control/ledger"
+	"cuminfall.example/control/ledger/wire"
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/rpc"
+)
+
+// Apply implements rpc.Operations.
+func (s *Server) Apply(ctx context.Context, r *rpc.ApplyRequest) (*rpc.ApplyReply, error) {
+	result, err := s.propose(ctx, "apply change", ledger.Change{Change: &wire.Change{
+		Section: r.GetSection(), Base: r.GetBase(), Id: r.GetId(), Operator: r.GetOperator(),
+		Hash: ledger.Hash(r.GetCredential()), Text: r.GetText(),
+	}})
+	if err != nil {
+		return nil, fault.Twirp(err)
+	}
+	reply := result.(*rpc.ApplyReply)
+	switch reply.GetState() {
+	case rpc.ApplyState_APPLY_STATE_ACCEPTED:
+		s.wake()
+	case rpc.ApplyState_APPLY_STATE_CONFLICT, rpc.ApplyState_APPLY_STATE_REFUSED:
+		s.refused(fault.New(fault.Code(reply.GetCode()), "apply change", r.GetOperator(), "%s", reply.GetReason()))
+	case rpc.ApplyState_APPLY_STATE_UNSPECIFIED:
+	}
+	return reply, nil
+}
+
+// Show implements rpc.Operations.
+func (s *Server) Show(_ context.Context, r *rpc.ShowRequest) (*rpc.ShowReply, error) {
+	reply := new(rpc.ShowReply)
+	err := s.read("show", func() error {
+		reply.Verdicts = s.ledger.Verdicts()
+		for _, section := range s.ledger.Sections() {
+			if r.GetSection() == "" || r.GetSection() == section.GetName() {
+				reply.Sections = append(reply.Sections, section)
+			}
+		}
+		if len(reply.GetSections()) == 0 {
+			return fault.New(fault.NotFound, "show", r.GetSection(), "unknown section %q", document.Section(r.GetSection()))
+		}
+		return nil
+	})
+	return reply, fault.Twirp(err)
+}
+
+// Audit implements rpc.Operations.
+func (s *Server) Audit(_ context.Context, r *rpc.AuditRequest) (*rpc.AuditReply, error) {
+	reply := new(rpc.AuditReply)
+	err := s.read("audit", func() error {
+		reply.Changes = s.ledger.Audit(ident.Index(r.GetAfter()), int(r.GetLimit()))
+		return nil
+	})
+	return reply, fault.Twirp(err)
+}
+
+// read runs f on committed state under the leader lease.
+func (s *Server) read(step string, f func() error) error {
+	term, err := s.lead(step)
+	if err != nil {
+		return err
+	}
+	s.replica.View(func() { err = f() })
+	if err != nil {
+		return err
+	}
+	return s.still(term, step)
+}
+
+// Status implements rpc.Operations; every member answers it, with the state that it has.
+func (s *Server) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusReply, error) {
+	reply := s.replica.Group()
+	s.replica.View(func() {
+		reply.Entries = s.ledger.Members()
+		reply.Upstreams = s.ledger.Upstreams()
+	})
+	return reply, nil
+}
+
+// Remove implements rpc.Operations.
+func (s *Server) Remove(ctx context.Context, r *rpc.RemoveRequest) (*rpc.RemoveReply, error) {
+	known := false
+	for _, m := range s.replica.Group().GetMembers() {
+		known = known || m.GetName() == r.GetName()
+	}
+	if !known {
+		return nil, fault.Twirp(fault.New(fault.NotFound, "remove member", r.GetName(), "no member of that name"))
+	}
+	_, err := s.propose(ctx, "remove member", ledger.Remove{Remove: &wire.Remove{
+		Name: r.GetName(), Operator: r.GetOperator(), Hash: ledger.Hash(r.GetCredential()), Id: r.GetId(),
+	}})
+	if err != nil {
+		return nil, fault.Twirp(err)
+	}
+	if err := s.replica.Remove(ctx, r.GetName()); err != nil {
+		return nil, fault.Twirp(fault.Wrap(err, fault.Unreachable, "remove member", r.GetName()))
+	}
+	return new(rpc.RemoveReply), nil
+}
--- /dev/null
+++ b/control/server/runcmd/doc.go
@@ -0,0 +1,2 @@
+// Package runcmd is the command `control run`: it runs one member of the control group.
+package runcmd
--- /dev/null
+++ b/control/server/settings.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"time"
+
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
+	"cuminfall.example/fleet/settings"
+)
+
+// Settings are a control member's settings file.
+type Settings struct {
+	Name    string          `toml:"name"`
+	Address ident.Address   `toml:"address"` // of this member, towards the group, entry VMs and operators
+	Admin   ident.Address   `toml:"admin"`   // of metrics and health
+	Data    string          `toml:"data"`    // folder
+	Peers   []ident.Address `toml:"peers"`   // other members
+	Level   string          `toml:"level"`
+	Lease   time.Duration   `toml:"lease"`
+	Plan    time.Duration   `toml:"plan"`
+	Suspect time.Duration   `toml:"suspect"`
+	Offline time.Duration   `toml:"offline"`
+}
+
+// DefaultSettings returns the values of absent keys.
+func DefaultSettings() *Settings {
+	t := DefaultTimings
+	return &Settings{Level: "info", Lease: t.Lease, Plan: t.Plan, Suspect: t.Suspect, Offline: t.Offline}
+}
+
+// Timings returns the timings of the soft state.
+func (s *Settings) Timings() Timings {
+	return Timings{Lease: s.Lease, Plan: s.Plan, Suspect: s.Suspect, Offline: s.Offline}
+}
+
+// Check implements settings.Checked.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Name("name", s.Name)
+	c.Address("address", string(s.Address))
+	c.Address("admin", string(s.Admin))
+	if s.Admin == s.Address && s.Admin != "" {
+		c.Fail("admin", string(s.Admin), "an address other than that of key address")
+	}
+	if s.Data == "" {
+		c.Fail("data", "none", "a folder")
+	}
+	for _, p := range s.Peers {
+		c.Address("peers", string(p))
+	}
+	c.OneOf("level", s.Level, process.Levels...)
+	c.Span("lease", s.Lease, 500*time.Millisecond, time.Minute)
+	c.Span("plan", s.Plan, 10*time.Millisecond, 10*time.Second)
+	c.Span("suspect", s.Suspect, 500*time.Millisecond, 10*time.Minute)
+	c.Span("offline", s.Offline, s.Suspect, time.Hour)
+}
