router: number the attempts of a request

A late or repeated Ended of the first attempt would otherwise end the second one, and a non-idempotent request could be sent while it still runs. The field is additive: an Ended without it refers to the current attempt.

--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -29,7 +29,9 @@
 	Size     ident.Bytes // declared body size, or -1
 }
 
-// Claimed reports the answer to a Claim effect; Failure is set when control gave none.
+// Claimed reports the answer to a Claim effect; Failure is set when control gave
+// none. A stored outcome is passed on by the caller of Step and ends in Done. A
+// claim that is granted after its request was refused must be abandoned.
 type Claimed struct {
 	At      time.Time
 	ID      RequestID
@@ -55,6 +57,7 @@
 type Ended struct {
 	At      time.Time
 	ID      RequestID
+	Attempt uint8 // copied from Send; 0 means the current attempt
 	Outcome Outcome
 	Fresh   bool
 	Elapsed time.Duration // from the send to the first byte of the answer
@@ -115,6 +118,7 @@
 // Send begins one attempt at an upstream and is answered with Ended.
 type Send struct {
 	ID          RequestID
+	Attempt     uint8 // 1 for the first; Ended carries it back, so that a late report of an earlier attempt is ignored
 	Endpoint    ident.Address
 	Incarnation ident.Incarnation
 	Workspace   ident.Workspace
