router: add the first version of the reducer

The shells of the entry VM need something to build against. Only the plain course of a request is tested so far.

Wait has a new field Most: a chunk above the link share's burst can never be paid for at once, so the next request must be for at most that many bytes. Moving it anyway was ruled out, as it exceeds the link's burst.

A token is not given back after an attempt that did not run. The bucket may have filled up since, so that a returned token exceeds rate x t + burst; each attempt takes a token of its own instead.

--- /dev/null
+++ b/entry/router/dispatch.go
@@ -0,0 +1,222 @@
+package router
+
+import (
+	"cuminfall.example/fleet/fault"
+)
+
+// Retries are bounded by a share of the requests, so that a failing service
+// is not loaded further by its callers' retries.
+const (
+	retryShare   = 0.1
+	retryReserve = 10 // retries that a quiet VM may make at once
+)
+
+// start takes a request as far as it can go: to its claim, or to an upstream.
+// The view is checked again, because it may have changed while the request waited.
+func (r *Router) start(q *request, out []Effect) (progress, []Effect) {
+	if f := r.recheck(q); f != nil {
+		return started, r.refuse(q, f, out)
+	}
+	if !r.Fresh(r.now) {
+		return started, r.refuse(q, r.stale(), out)
+	}
+	if !r.now.Before(q.deadline) {
+		return started, r.refuse(q, r.expired(q), out)
+	}
+	w := q.workspace
+	if q.service.Once && !q.claimed {
+		// A claim needs a token of its own, so that claims do not outrun the rate.
+		if w.bucket.Tokens(r.now) < float64(1+w.claiming) {
+			return noToken, out
+		}
+		return started, r.beginClaim(q, out)
+	}
+	if w.bucket.Tokens(r.now) < 1 {
+		return noToken, out
+	}
+	e, s := r.choose(q)
+	if e == nil {
+		if q.attempt > 0 {
+			return noOther, out
+		}
+		return noSlot, out
+	}
+	if !w.bucket.Take(r.now, 1) {
+		return noToken, out
+	}
+	if s != nil {
+		s.acc--
+		r.stats.Shifted++
+	}
+	return started, r.dispatch(q, e, out)
+}
+
+func (r *Router) beginClaim(q *request, out []Effect) []Effect {
+	r.unqueue(q)
+	q.state = claiming
+	q.workspace.claiming++
+	r.timers.add(q)
+	r.stats.Claims++
+	q.claim = Claim{ID: q.id, Workspace: q.workspace.name, Service: q.service.Name}
+	return append(out, &q.claim)
+}
+
+// dispatch sends a request, whose token is taken, to an endpoint with room.
+func (r *Router) dispatch(q *request, e *endpoint, out []Effect) []Effect {
+	r.unqueue(q)
+	r.timers.remove(q)
+	e.take(r.now)
+	q.state, q.endpoint, q.region = sent, e, e.region
+	q.tried[q.attempt] = e
+	q.attempt++
+	if q.attempt == 1 {
+		r.stats.Sent++
+		r.budget = min(r.budget+retryShare, retryReserve)
+	} else {
+		r.stats.Retried++
+	}
+	if e.distance == far {
+		r.stats.Spilled++
+	}
+	q.send = Send{
+		ID:          q.id,
+		Attempt:     q.attempt,
+		Endpoint:    e.address,
+		Incarnation: e.incarnation,
+		Workspace:   q.workspace.name,
+		Service:     q.service.Name,
+		Once:        q.service.Once,
+		Body:        q.service.Body,
+		Linked:      e.region.out != nil || e.region.back != nil,
+		Deadline:    q.deadline,
+	}
+	return append(out, &q.send)
+}
+
+// pick returns the best candidate with room that was not tried, or nil. A
+// shift limits the choice to its target.
+func (r *Router) pick(q *request, to *shift) *endpoint {
+	if !r.now.Before(r.view.until) {
+		return nil
+	}
+	s := q.service
+	var best *endpoint
+	var lowest uint64
+	n := len(s.endpoints)
+	for i := range n {
+		at := s.start + i
+		if at >= n {
+			at -= n
+		}
+		e := s.endpoints[at]
+		if to != nil && !to.to(e) || !e.free(r.now) || q.triedAt(e) {
+			continue
+		}
+		if k := e.rank(r.now); best == nil || k < lowest {
+			best, lowest = e, k
+		}
+	}
+	return best
+}
+
+// choose picks an endpoint and applies the shifts to it; the shift is returned if it moved the request.
+func (r *Router) choose(q *request) (*endpoint, *shift) {
+	e := r.pick(q, nil)
+	s := q.service
+	if s.start++; s.start >= len(s.endpoints) {
+		s.start = 0
+	}
+	if e == nil || q.attempt > 0 {
+		return e, nil
+	}
+	for _, h := range s.shifts {
+		if !h.from(e) {
+			continue
+		}
+		h.arrivals.add(r.now, h.Share)
+		h.acc = min(h.acc+h.Share, 1)
+		if h.acc < 1 {
+			return e, nil
+		}
+		moved := r.pick(q, h)
+		if moved == nil || !h.bucket.Take(r.now, 1) {
+			return e, nil
+		}
+		return moved, h
+	}
+	return e, nil
+}
+
+// ended handles the end of an attempt.
+func (r *Router) ended(e *Ended, out []Effect) []Effect {
+	q := r.requests[e.ID]
+	if q == nil || q.state != sent || e.Attempt != 0 && e.Attempt != q.attempt {
+		return out // reported twice, or of an earlier attempt
+	}
+	at := q.endpoint
+	at.slots.Release()
+	at.conns.Release()
+	q.region.counter.Release()
+	q.endpoint, q.region, q.state = nil, nil, 0
+	switch e.Outcome {
+	case Answered:
+		at.failures.succeeded()
+		out = r.finish(q, false, out)
+	case Abandoned:
+		out = r.finish(q, false, out)
+	case Truncated:
+		at.failures.add(r.now, 1)
+		out = r.finish(q, true, out)
+	case Unsent:
+		at.failures.add(r.now, 1)
+		out = r.afterUnrun(q, at, e, fault.Unreachable, out)
+	case Shed:
+		at.failures.add(r.now, shedWeight)
+		out = r.afterUnrun(q, at, e, fault.Busy, out)
+	default:
+		at.failures.add(r.now, 1)
+		out = r.afterBroken(q, at, e, out)
+	}
+	return r.pumpAll(out)
+}
+
+// afterUnrun retries a request that did not run, or refuses it. Its token is
+// not given back: the bucket may have filled since, and the returned token would
+// then exceed the burst. Each attempt therefore takes a token of its own.
+func (r *Router) afterUnrun(q *request, at *endpoint, e *Ended, code fault.Code, out []Effect) []Effect {
+	if r.mayRetry(q, e) {
+		r.budget--
+		r.enqueue(q)
+		return out
+	}
+	message := "upstream was not reached"
+	if e.Outcome == Shed {
+		message = "upstream sheds load"
+	}
+	return r.refuse(q, notRun(code, "upstream", string(at.address), "%s", message), out)
+}
+
+// afterBroken retries an idempotent request whose upstream failed. A
+// non-idempotent one may have run and is never sent again.
+func (r *Router) afterBroken(q *request, at *endpoint, e *Ended, out []Effect) []Effect {
+	q.ran = true
+	if !q.service.Once && r.mayRetry(q, e) {
+		r.budget--
+		r.enqueue(q)
+		return out
+	}
+	return r.refuse(q, notRun(fault.Upstream, "upstream", string(at.address), "upstream failed before it answered"), out)
+}
+
+// mayRetry reports whether another endpoint, of which this VM has a share, may get the request.
+func (r *Router) mayRetry(q *request, e *Ended) bool {
+	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(q.deadline) {
+		return false
+	}
+	for _, other := range q.service.endpoints {
+		if other.slots.Share() > 0 && !q.triedAt(other) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entry/router/endpoint.go
@@ -0,0 +1,153 @@
+package router
+
+import (
+	"math"
+	"time"
+
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/limit"
+	"cuminfall.example/fleet/rpc"
+)
+
+// distance orders endpoints by how far they are from this VM.
+type distance uint8
+
+const (
+	sameDomain distance = iota
+	sameRegion
+	far
+)
+
+// endpoint is an upstream with this VM's shares of it.
+type endpoint struct {
+	address     ident.Address
+	slotsID     ident.Limit
+	connsID     ident.Limit
+	announced   bool
+	service     ident.Service
+	domain      ident.Domain
+	incarnation ident.Incarnation
+	leaving     bool
+	suspected   bool
+	connLimited bool
+	reported    uint64 // load that it reports, in tieSteps of its slots
+
+	region   *region
+	distance distance
+	slots    limit.Counter
+	conns    limit.Counter
+	failures failures
+	peak     float64 // decaying maximum of used slots, for demands
+	peakAt   time.Time
+}
+
+func (v *view) endpoint(a ident.Address) *endpoint {
+	e := v.endpoints[a]
+	if e == nil {
+		e = &endpoint{address: a, slotsID: limit.OfSlots(a), connsID: limit.OfConnections(a), distance: far}
+		v.endpoints[a] = e
+		v.endpointList = append(v.endpointList, e)
+	}
+	return e
+}
+
+// tieSteps is the resolution of a reported load. Reports lag and may be
+// wrong, so they decide only between endpoints that are equal otherwise.
+const tieSteps = 15
+
+func reportedLoad(u *rpc.Upstream) uint64 {
+	if u.Slots == 0 || u.Load <= 0 {
+		return 0
+	}
+	return min(uint64(u.Load)*tieSteps/uint64(u.Slots), tieSteps)
+}
+
+// free reports whether one more request may run at the endpoint now.
+func (e *endpoint) free(now time.Time) bool {
+	return e.slots.Free(now) > 0 &&
+		(!e.connLimited || e.conns.Free(now) > 0) &&
+		(!e.region.limited || e.region.counter.Free(now) > 0)
+}
+
+// take uses a slot, a connection and a place in the region. All are counted
+// even where they are not limited, because a limit may be set before they are released.
+func (e *endpoint) take(now time.Time) {
+	e.slots.Use()
+	e.conns.Use()
+	e.region.counter.Use()
+	e.peak = math.Max(e.decayedPeak(now), float64(e.slots.Used()))
+	e.peakAt = now
+}
+
+func (e *endpoint) decayedPeak(now time.Time) float64 {
+	used := float64(e.slots.Used())
+	if e.peak <= used {
+		return used
+	}
+	return used + (e.peak-used)*math.Exp(-float64(now.Sub(e.peakAt))/float64(meterSpan))
+}
+
+// Shifts of the parts of a rank, the most significant first.
+const (
+	suspectedShift = 40
+	failuresShift  = 32
+	distanceShift  = 24
+	loadShift      = 8
+	loadSteps      = 1 << 10
+)
+
+// rank orders candidates, lowest first: active, few failures, near, lightly loaded share, low reported load.
+func (e *endpoint) rank(now time.Time) uint64 {
+	k := uint64(e.distance)<<distanceShift | e.reported
+	if e.suspected {
+		k |= 1 << suspectedShift
+	}
+	if e.failures.score > 0 {
+		k |= e.failures.class(now) << failuresShift
+	}
+	return k | uint64(e.slots.Used())*loadSteps/uint64(e.slots.Share())<<loadShift
+}
+
+// Failure scores: one failure counts 1 and halves every failureHalf or with
+// each success, so that a single failure does not send traffic far away for long.
+const (
+	failureHalf    = 5 * time.Second
+	shedWeight     = 0.5 // the upstream is alive, only full
+	doubtfulScore  = 0.75
+	failingScore   = 3
+	forgottenScore = 0.05
+)
+
+type failures struct {
+	score float64
+	at    time.Time
+}
+
+func (f *failures) add(now time.Time, n float64) {
+	f.score = f.decayed(now) + n
+	f.at = now
+}
+
+func (f *failures) succeeded() {
+	f.score /= 2
+	if f.score < forgottenScore {
+		f.score = 0
+	}
+}
+
+func (f *failures) decayed(now time.Time) float64 {
+	if f.score == 0 {
+		return 0
+	}
+	return f.score * math.Exp2(-float64(now.Sub(f.at))/float64(failureHalf))
+}
+
+func (f *failures) class(now time.Time) uint64 {
+	switch s := f.decayed(now); {
+	case s >= failingScore:
+		return 2
+	case s >= doubtfulScore:
+		return 1
+	}
+	return 0
+}
--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -129,10 +129,13 @@
 	Deadline    time.Time
 }
 
-// Wait tells a transfer to ask again after a delay; without it the bytes may move.
+// Wait tells a transfer to ask again after a delay; without it the bytes may
+// move. Where Most is above 0 the next request must be for at most that many
+// bytes, because the share can never hold more at a time.
 type Wait struct {
 	ID    RequestID
 	Delay time.Duration
+	Most  ident.Bytes
 }
 
 // Done says that nothing more follows for a request whose answer was passed on, cut or abandoned.
--- /dev/null
+++ b/entry/router/router.go
@@ -0,0 +1,191 @@
+package router
+
+import (
+	"time"
+
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/rpc"
+)
+
+// Config is what an entry VM knows from its settings; zero durations and counts take the defaults.
+type Config struct {
+	VM          ident.VM
+	Incarnation ident.Incarnation
+	Address     ident.Address // caller-facing
+	Domain      ident.Domain
+	Freshness   time.Duration // oldest view that keyed requests are served with
+	Lifetime    time.Duration // how long callers may use a lookup
+	Exchange    time.Duration // interval of session exchanges
+	Queue       int           // waiting requests of one workspace for one service
+}
+
+// Defaults of a Config.
+const (
+	DefaultFreshness = 4 * time.Second
+	DefaultLifetime  = 5 * time.Second
+	DefaultExchange  = 200 * time.Millisecond
+	DefaultQueue     = 256
+)
+
+// Router is the reducer of an entry VM; it is not safe for concurrent use.
+type Router struct {
+	config Config
+	now    time.Time // latest time seen in an event
+	view   view
+	stats  Stats
+
+	requests map[RequestID]*request
+	idle     freeList
+	timers   deadlines
+	turn     int // rotates the service that is served first
+	waiting  int
+
+	budget   float64   // retries that may still be made
+	asked    time.Time // of the last Ask
+	stopping bool
+	ask      Ask
+	rejected []rejection // reused by sweep
+}
+
+// New returns a router that knows nothing until its first Synced.
+func New(c Config) *Router {
+	if c.Freshness == 0 {
+		c.Freshness = DefaultFreshness
+	}
+	if c.Lifetime == 0 {
+		c.Lifetime = DefaultLifetime
+	}
+	if c.Exchange == 0 {
+		c.Exchange = DefaultExchange
+	}
+	if c.Queue == 0 {
+		c.Queue = DefaultQueue
+	}
+	return &Router{
+		config:   c,
+		view:     newView(),
+		requests: make(map[RequestID]*request),
+		budget:   retryReserve,
+	}
+}
+
+// Step handles one event and appends its effects to out. An effect is valid
+// until the next Step for its request; a Done must be read before the caller
+// lets another goroutine call Step, as its record is reused.
+func (r *Router) Step(event Event, out []Effect) []Effect {
+	switch e := event.(type) {
+	case *Arrived:
+		r.advance(e.At)
+		return r.arrived(e, out)
+	case *Claimed:
+		r.advance(e.At)
+		return r.claimed(e, out)
+	case *Ended:
+		r.advance(e.At)
+		return r.ended(e, out)
+	case *Transfer:
+		r.advance(e.At)
+		return r.transfer(e, out)
+	case *Cancelled:
+		r.advance(e.At)
+		return r.cancelled(e, out)
+	case *Synced:
+		r.advance(e.At)
+		return r.synced(e, out)
+	case *Tick:
+		r.advance(e.At)
+		return r.pumpAll(out)
+	case *Stopping:
+		r.advance(e.At)
+		r.stopping = true
+	}
+	return out
+}
+
+// advance moves the router's time, which never goes back even when events cross.
+func (r *Router) advance(at time.Time) {
+	if at.After(r.now) {
+		r.now = at
+	}
+}
+
+// Leaving reports whether a planned stop has begun, for the next session exchange.
+func (r *Router) Leaving() bool { return r.stopping }
+
+// Lifetime returns how long callers may use a lookup.
+func (r *Router) Lifetime() time.Duration { return r.config.Lifetime }
+
+// Fresh reports whether keyed requests are served at the given time.
+func (r *Router) Fresh(at time.Time) bool { return r.view.fresh(at, r.config.Freshness) }
+
+// Age returns the age of the configuration, or false before the first one.
+func (r *Router) Age(at time.Time) (time.Duration, bool) {
+	return at.Sub(r.view.proven), !r.view.proven.IsZero()
+}
+
+// Held returns the versions for the next session exchange. The version of the
+// allotments is confirmed only when no count is above its share, because
+// control lends the difference to others as soon as it is confirmed.
+func (r *Router) Held() *rpc.Versions {
+	if r.view.withinShares() {
+		r.view.confirmed = r.view.allotments
+	}
+	return &rpc.Versions{
+		Config:     r.view.config,
+		Registry:   r.view.registry,
+		Members:    r.view.members,
+		Allotments: r.view.confirmed,
+	}
+}
+
+// Connections returns how many connections may be open to an upstream, or
+// false where their number is not limited.
+func (r *Router) Connections(a ident.Address) (ident.Connections, bool) {
+	e := r.view.endpoints[a]
+	if e == nil {
+		return 0, true
+	}
+	if !r.now.Before(r.view.until) {
+		return 0, e.connLimited
+	}
+	return ident.Connections(e.conns.Share()), e.connLimited
+}
+
+// Waiting returns the number of requests in queues.
+func (r *Router) Waiting() int { return r.waiting }
+
+// Stats returns the counters.
+func (r *Router) Stats() Stats { return r.stats }
+
+// refuse answers a request for the last time and frees its record. After an
+// attempt that may have run, no refusal says that the request did not run.
+func (r *Router) refuse(q *request, f *fault.Error, out []Effect) []Effect {
+	if q.ran {
+		f.Run = fault.Unknown
+	}
+	out = r.refuseID(q.id, f, out)
+	r.release(q)
+	return out
+}
+
+func (r *Router) refuseID(id RequestID, f *fault.Error, out []Effect) []Effect {
+	r.stats.refused(f)
+	return append(out, &Refuse{ID: id, Fault: f})
+}
+
+// finish ends a request whose answer was passed on, cut or abandoned.
+func (r *Router) finish(q *request, truncated bool, out []Effect) []Effect {
+	r.stats.Done++
+	q.done = Done{ID: q.id, Truncated: truncated}
+	out = append(out, &q.done)
+	r.release(q)
+	return out
+}
+
+// notRun returns a refusal of a request that certainly did not run.
+func notRun(code fault.Code, step, peer, format string, args ...any) *fault.Error {
+	f := fault.New(code, step, peer, format, args...)
+	f.Run = fault.NotRun
+	return f
+}
--- /dev/null
+++ b/entry/router/stats.go
@@ -0,0 +1,45 @@
+package router
+
+import "cuminfall.example/fleet/fault"
+
+// Stats counts what the router did since its start.
+type Stats struct {
+	Arrived    uint64
+	Sent       uint64 // first attempts
+	Retried    uint64 // further attempts
+	Done       uint64
+	Queued     uint64 // requests that waited
+	Claims     uint64
+	Asked      uint64 // session exchanges wanted at once
+	Shifted    uint64 // requests moved by a shift
+	Spilled    uint64 // requests sent to another region
+	Throttled  uint64 // transfers that had to wait
+	Rate       uint64 // refusals by code
+	Busy       uint64
+	Stale      uint64
+	Key        uint64
+	Deadline   uint64
+	Upstream   uint64
+	Other      uint64
+	Outdated   uint64 // parts of replies with a lower version than the one held
+	Unreadable uint64 // configurations that could not be parsed
+}
+
+func (s *Stats) refused(f *fault.Error) {
+	switch f.Code {
+	case fault.Rate:
+		s.Rate++
+	case fault.Busy:
+		s.Busy++
+	case fault.Stale:
+		s.Stale++
+	case fault.Key:
+		s.Key++
+	case fault.Deadline:
+		s.Deadline++
+	case fault.Upstream, fault.Unreachable:
+		s.Upstream++
+	default:
+		s.Other++
+	}
+}
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -107,6 +107,10 @@
 	return true
 }
 
+// Use counts one unit without regard to share and lease, for a quantity that
+// is not limited now and may become so while the unit is in use.
+func (c *Counter) Use() { c.used++ }
+
 // Release gives one unit back.
 func (c *Counter) Release() {
 	if c.used > 0 {
