entry: pass requests to upstreams and talk to control

ClaimRequest and AbandonRequest gain a token. The answer to a claim can be lost after the commit; with the token a repeat is the same claim, and a claim whose number never arrived can be given up.

httputil.ReverseProxy and http.Transport were ruled out towards upstreams: both hide whether a byte was sent, and the transport sends a request again by itself.

Measured so far: only that a key in any form but the Authorization header is refused and reaches no upstream (TestKeyStaysAtEntry).

--- /dev/null
+++ b/entry/forward/conn.go
@@ -0,0 +1,185 @@
+package forward
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"github.com/pkg/errors"
+
+	"cuminfall.example/fleet/clock"
+)
+
+// largestHead bounds the bytes of an answer's head, which would otherwise be read into memory without end.
+const largestHead = 1 << 20
+
+const userTimeoutOption = 0x12 // TCP_USER_TIMEOUT, which package syscall lacks
+
+// conn is one connection to an upstream, used by one exchange at a time.
+type conn struct {
+	tcp  *net.TCPConn
+	raw  syscall.RawConn
+	pool *pool
+	in   *bufio.Reader
+	out  []byte // scratch space for heads
+
+	since time.Time // when it became idle
+
+	// State of the present exchange.
+	x        *Exchange
+	deadline time.Time
+	written  atomic.Int64
+	head     int  // bytes that the head may still have
+	inBody   bool // the answer's body is being read
+
+	peek     func(fd uintptr) bool // allocated once, because it runs for each reuse
+	peekErr  error
+	peekSize int
+}
+
+func newConn(p *pool, tcp *net.TCPConn) (*conn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		_ = tcp.Close()
+		return nil, errors.WithStack(err)
+	}
+	c := &conn{tcp: tcp, raw: raw, pool: p}
+	c.in = bufio.NewReaderSize(c, 16<<10)
+	c.peek = func(fd uintptr) bool {
+		var b [1]byte
+		c.peekSize, _, c.peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	}
+	return c, nil
+}
+
+// UserTimeout returns a hook of net.Dialer and net.ListenConfig that bounds how long sent data may stay unacknowledged.
+func UserTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var opt error
+		err := raw.Control(func(fd uintptr) {
+			opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeoutOption, int(d/time.Millisecond))
+		})
+		if err != nil {
+			return err
+		}
+		return opt
+	}
+}
+
+// sound reports whether an idle connection is open and has nothing to read; an
+// answer that nobody asked for must not reach the next request.
+func (c *conn) sound() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	if err := c.raw.Read(c.peek); err != nil {
+		return false
+	}
+	return c.peekErr == syscall.EAGAIN
+}
+
+func (c *conn) begin(x *Exchange, deadline time.Time) {
+	c.x, c.deadline, c.head, c.inBody = x, deadline, largestHead, false
+	c.written.Store(0)
+}
+
+// shut closes the connection without giving its place in the limit back.
+func (c *conn) shut() { _ = c.tcp.Close() }
+
+// discard closes the connection and gives its place in the limit back.
+func (c *conn) discard() {
+	c.shut()
+	c.pool.release()
+}
+
+// Read implements io.Reader for the answer, up to the exchange's deadline.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.inBody {
+		if c.head <= 0 {
+			return 0, errors.New("head of the answer is too long")
+		}
+		if len(b) > c.head {
+			b = b[:c.head]
+		}
+	}
+	for {
+		if err := c.tcp.SetReadDeadline(c.step()); err != nil {
+			return 0, err
+		}
+		n, err := c.tcp.Read(b)
+		if !c.inBody {
+			c.head -= n
+		}
+		if n > 0 || !timedOut(err) {
+			return n, err
+		}
+		if !c.now().Before(c.deadline) {
+			c.x.fail(Late)
+			return 0, err
+		}
+		// While the head is awaited the upstream may be at work, unless the
+		// request itself was not taken.
+		if (c.inBody || c.unacknowledged() > 0) && c.pool.probe(c.deadline) {
+			c.x.fail(Silent)
+			return 0, err
+		}
+	}
+}
+
+// Write implements io.Writer for the request, up to the exchange's deadline.
+func (c *conn) Write(b []byte) (int, error) {
+	sent := 0
+	for {
+		if err := c.tcp.SetWriteDeadline(c.step()); err != nil {
+			return sent, err
+		}
+		n, err := c.tcp.Write(b[sent:])
+		c.written.Add(int64(n))
+		sent += n
+		if err == nil || !timedOut(err) {
+			return sent, err
+		}
+		if !c.now().Before(c.deadline) {
+			c.x.fail(Late)
+			return sent, err
+		}
+		if n == 0 && c.pool.probe(c.deadline) {
+			c.x.fail(Silent)
+			return sent, err
+		}
+	}
+}
+
+// step returns the time until which one read or write may go without progress.
+func (c *conn) step() time.Time {
+	next := c.now().Add(c.pool.client.silence)
+	if c.deadline.Before(next) {
+		return c.deadline
+	}
+	return next
+}
+
+func (c *conn) now() time.Time { return c.clock().Now() }
+
+func (c *conn) clock() clock.Clock { return c.pool.client.clock }
+
+// unacknowledged returns the sent bytes that the peer's host has not confirmed.
+func (c *conn) unacknowledged() int {
+	var n int32
+	err := c.raw.Control(func(fd uintptr) {
+		if _, _, code := syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n))); code != 0 {
+			n = 0
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return int(n)
+}
+
+func timedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- /dev/null
+++ b/entry/forward/head.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Names of the header fields that entry sets for upstreams.
+const (
+	WorkspaceHeader = "Cuminfall-Workspace"
+	RunHeader       = "Cuminfall-Run"
+	TimeoutHeader   = "Request-Timeout"
+	ownPrefix       = "Cuminfall-"
+)
+
+// hop reports whether a field concerns one connection only.
+func hop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade":
+		return true
+	}
+	return false
+}
+
+// StripHop removes the fields that concern one connection only.
+func StripHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			delete(h, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for name := range h {
+		if hop(name) {
+			delete(h, name)
+		}
+	}
+}
+
+// withheld reports whether a caller's field must not reach an upstream or is set anew.
+func withheld(name string, connection []string) bool {
+	switch name {
+	case "Authorization", "Content-Length", "Expect", "Host", TimeoutHeader:
+		return true
+	}
+	if hop(name) {
+		return true
+	}
+	if len(name) >= len(ownPrefix) && strings.EqualFold(name[:len(ownPrefix)], ownPrefix) {
+		return true
+	}
+	for _, line := range connection {
+		for _, listed := range strings.Split(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(listed), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// appendHead writes the head of r; net/http's server has already refused line
+// ends and other control characters in all of the caller's parts.
+func appendHead(b []byte, r *Request, left time.Duration) []byte {
+	b = append(b, r.Method...)
+	b = append(b, ' ')
+	b = append(b, r.Target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = appendField(b, "Host", r.Host)
+	connection := r.Header["Connection"]
+	for name, values := range r.Header {
+		if withheld(name, connection) {
+			continue
+		}
+		for _, v := range values {
+			b = appendField(b, name, v)
+		}
+	}
+	b = appendField(b, WorkspaceHeader, string(r.Workspace))
+	// Rounded up, so that a short rest does not become 0.
+	left = (left + time.Millisecond - 1).Truncate(time.Millisecond)
+	b = append(b, TimeoutHeader+": "...)
+	b = strconv.AppendInt(b, left.Milliseconds(), 10)
+	b = append(b, "ms\r\n"...)
+	switch {
+	case r.Stream != nil && r.Length < 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case r.Stream != nil:
+		b = appendLength(b, r.Length)
+	case len(r.Whole) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
+		b = appendLength(b, int64(len(r.Whole)))
+	}
+	return append(b, "\r\n"...)
+}
+
+func appendLength(b []byte, n int64) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, n, 10)
+	return append(b, "\r\n"...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/entry/gateway/gateway_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"cuminfall.example/entry/forward"
+	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/rpc"
+)
+
+const (
+	secret = "5ecre75ecre75ecre7"
+	bearer = "Bearer ck_k1_" + secret
+)
+
+// fakeControl keeps claims in memory.
+type fakeControl struct {
+	mu        sync.Mutex
+	claims    map[string]*fakeClaim
+	failing   bool // Complete fails
+	abandoned int
+}
+
+type fakeClaim struct {
+	digest  string
+	token   string
+	outcome *rpc.Outcome
+}
+
+func (f *fakeControl) Ask() {}
+
+func (f *fakeControl) Claim(_ context.Context, _ time.Time, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.claims[r.Key]
+	switch {
+	case c == nil:
+		f.claims[r.Key] = &fakeClaim{digest: string(r.Digest), token: r.Token}
+		return &rpc.ClaimReply{State: rpc.ClaimState_CLAIM_STATE_GRANTED, Claim: 7}, nil
+	case c.digest != string(r.Digest):
+		return &rpc.ClaimReply{State: rpc.ClaimState_CLAIM_STATE_MISMATCH}, nil
+	case c.outcome != nil:
+		return &rpc.ClaimReply{State: rpc.ClaimState_CLAIM_STATE_COMPLETED, Outcome: c.outcome}, nil
+	}
+	return &rpc.ClaimReply{State: rpc.ClaimState_CLAIM_STATE_PENDING}, nil
+}
+
+func (f *fakeControl) Complete(ctx context.Context, deadline time.Time, r *rpc.CompleteRequest) error {
+	if f.failing {
+		_ = clock.Sleep(ctx, clock.System{}, time.Until(deadline))
+		return fault.New(fault.Unreachable, "complete", "", "no control")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.claims[r.Key].outcome = proto.Clone(r.Outcome).(*rpc.Outcome)
+	return nil
+}
+
+func (f *fakeControl) Abandon(_ context.Context, _ time.Time, r *rpc.AbandonRequest) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.claims, r.Key)
+	f.abandoned++
+	return nil
+}
+
+func (f *fakeControl) Announce(context.Context, time.Time, *rpc.Upstream) (ident.Index, error) {
+	return 1, nil
+}
+
+func (f *fakeControl) Judge(context.Context, time.Time, *rpc.JudgeRequest) (ident.Index, error) {
+	return 1, nil
+}
+
+// bench is a gateway with its router, one upstream per service and a caller-facing server.
+type bench struct {
+	*is.I
+	gateway *Gateway
+	control *fakeControl
+	url     string
+	server  *http.Server
+	index   uint64
+}
+
+func newBench(t testing.TB, upstreams map[string]string, silence time.Duration) *bench {
+	b := &bench{I: is.New(t), control: &fakeControl{claims: make(map[string]*fakeClaim)}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b.gateway = New(Options{
+		Log: log, Router: router.New(router.Config{VM: "e1", Incarnation: 1, Address: "127.0.0.1:1", Domain: "d1"}),
+		Forward: forward.New(forward.Options{Silence: silence}), Control: b.control, VM: "e1", Incarnation: 1,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); b.gateway.Run(ctx) }()
+	b.sync(upstreams)
+	l, err := Listen(ctx, "127.0.0.1:0", 10*time.Second)
+	b.NoErr(err)
+	b.url = "http://" + l.Addr().String()
+	b.server = Server(b.gateway)
+	go func() { _ = b.server.Serve(l) }()
+	t.Cleanup(func() {
+		_ = b.server.Close()
+		b.gateway.Wait()
+		b.gateway.Forward.Close()
+		cancel()
+		<-ended
+	})
+	return b
+}
+
+// sync gives the router a configuration with services forecast (idempotent) and claims (not).
+func (b *bench) sync(upstreams map[string]string) {
+	hash := sha256.Sum256([]byte(secret))
+	sections := map[string]string{
+		"places":   "[[region]]\nname='r1'\n[[domain]]\nname='d1'\nregion='r1'\n",
+		"services": "[[service]]\nname='forecast'\nprefix='/forecast/'\nbody=300000\n[[service]]\nname='claims'\nprefix='/claims/'\nonce=true\n",
+		"workspaces": fmt.Sprintf("[[workspace]]\nname='w1'\nrate=1e6\nburst=1e6\n[[workspace.key]]\nid='k1'\nhash='%s'\n",
+			hex.EncodeToString(hash[:])),
+	}
+	b.index++
+	reply := &rpc.SyncReply{
+		Term: 1, Index: b.index, LeaseMs: 60000, Config: &rpc.Config{}, Registry: &rpc.Registry{},
+		Versions: &rpc.Versions{Config: b.index, Registry: b.index, Members: b.index, Allotments: b.index},
+		Members:  &rpc.Members{Members: []*rpc.Member{{Vm: "e1", Incarnation: 1, Address: "127.0.0.1:1", Domain: "d1"}}},
+	}
+	for name, text := range sections {
+		reply.Config.Sections = append(reply.Config.Sections, &rpc.Section{Name: name, Revision: 1, Text: text})
+	}
+	shares := []*rpc.Allotment{{Limit: "workspace/w1", Rate: 1e6, Burst: 1e6}}
+	for service, address := range upstreams {
+		reply.Registry.Upstreams = append(reply.Registry.Upstreams, &rpc.Upstream{
+			Service: service, Address: address, Domain: "d1", Slots: 64, Connections: 64, Incarnation: 1})
+		shares = append(shares, &rpc.Allotment{Limit: "slots/" + address, Count: 64},
+			&rpc.Allotment{Limit: "connections/" + address, Count: 64})
+	}
+	reply.Allotments = &rpc.Allotments{Allotments: shares}
+	b.gateway.Synced(time.Now(), reply)
+	time.Sleep(5 * time.Millisecond) // the workspace's bucket starts empty
+}
+
+// request returns a request with a key and a time-out; fields are "Name: value".
+func (b *bench) request(method, path string, body io.Reader, fields ...string) *http.Request {
+	r, err := http.NewRequest(method, b.url+path, body)
+	b.NoErr(err)
+	r.Header.Set("Authorization", bearer)
+	r.Header.Set("Request-Timeout", "2s")
+	for _, f := range fields {
+		name, value, _ := strings.Cut(f, ": ")
+		r.Header[name] = append(r.Header[name], value)
+	}
+	return r
+}
+
+// do sends a request on a connection of its own and returns the answer with its body.
+func (b *bench) do(r *http.Request) (*http.Response, string, error) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
+}
+
+// recorder is an upstream that records the bytes of each request and answers with a fixed text.
+type recorder struct {
+	mu     sync.Mutex
+	raw    strings.Builder
+	runs   int
+	status int
+	fields map[string]string
+	body   string
+}
+
+func (u *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs++
+	fmt.Fprintf(&u.raw, "%s %s %s %v %s\n", r.Method, r.RequestURI, r.Host, r.Header, body)
+	for name, value := range u.fields {
+		w.Header().Set(name, value)
+	}
+	if u.status != 0 {
+		w.WriteHeader(u.status)
+	}
+	_, _ = io.WriteString(w, u.body)
+}
+
+func (u *recorder) ran() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs
+}
+
+func (u *recorder) start(t testing.TB) string {
+	s := httptest.NewServer(u)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against a key that reaches an upstream, and against refusals of keys in the right place.
+func TestKeyStaysAtEntry(t *testing.T) {
+	u := &recorder{body: "ok"}
+	b := newBench(t, map[string]string{"forecast": u.start(t)}, 0)
+	escaped := strings.ReplaceAll(secret, "5", "%35")
+	for _, c := range []struct {
+		name, path, key string
+		fields          []string
+		status          int
+	}{
+		{"one header", "/forecast/a?b=c", bearer, nil, 200},
+		{"other case of the scheme", "/forecast/a", "bEARER ck_k1_" + secret, nil, 200},
+		{"own header from the caller", "/forecast/a", bearer, []string{"Cuminfall-Workspace: other", "cuminfall-x: y"}, 200},
+		{"hop-by-hop header", "/forecast/a", bearer, []string{"Connection: X-Hop", "X-Hop: removed"}, 200},
+		{"two headers", "/forecast/a", bearer, []string{"Authorization: " + bearer}, 401},
+		{"no header", "/forecast/a?key=ck_k1_" + secret, "", nil, 401},
+		{"query", "/forecast/a?key=ck_k1_" + secret, bearer, nil, 401},
+		{"secret alone in the path", "/forecast/" + secret, bearer, nil, 401},
+		{"escaped query", "/forecast/a?key=" + escaped, bearer, nil, 401},
+		{"escaped twice", "/forecast/a?key=" + strings.ReplaceAll(escaped, "%", "%25"), bearer, nil, 401},
+		{"other case", "/forecast/a?key=" + strings.ToUpper(secret), bearer, nil, 401},
+		{"other header", "/forecast/a", bearer, []string{"X-Api-Key: ck_k1_" + secret}, 401},
+		{"cookie", "/forecast/a", bearer, []string{"Cookie: k=" + secret}, 401},
+		{"proxy header", "/forecast/a", bearer, []string{"Proxy-Authorization: " + bearer}, 401},
+		{"unknown secret", "/forecast/a", "Bearer ck_k1_0000000000000000", nil, 401},
+		{"other scheme", "/forecast/a", "Basic ck_k1_" + secret, nil, 401},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			before := u.ran()
+			r := b.request("GET", c.path, nil, c.fields...)
+			r.Header["Authorization"][0] = c.key
+			if c.key == "" {
+				r.Header.Del("Authorization")
+			}
+			answer, body, err := b.do(r)
+			is.NoErr(err)
+			is.Equal(answer.StatusCode, c.status) // status
+			if c.status == 200 {
+				is.Equal(u.ran(), before+1)
+				return
+			}
+			var f fault.Error
+			is.NoErr(json.Unmarshal([]byte(body), &f))
+			is.Equal(f.Run, fault.NotRun)
+			is.Equal(answer.Header.Get("Cuminfall-Run"), "not-run")
+			is.Equal(u.ran(), before) // a refusal that says not run is true
+		})
+	}
+	raw := strings.ToLower(u.raw.String())
+	for _, part := range []string{secret, "authorization", "bearer", "other", "removed", "cuminfall-x"} {
+		b.True(!strings.Contains(raw, part)) // must not reach the upstream
+	}
+	b.True(strings.Contains(raw, "cuminfall-workspace:[w1]"))
+	b.True(strings.Contains(raw, "request-timeout:["))
+}
