--- /dev/null
+++ b/load/command/command.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/settings"
+)
+
+// Console is what a command uses of its surroundings.
+type Console struct {
+	Out   io.Writer
+	Err   io.Writer
+	Clock clock.Clock
+}
+
+// Command is one entry of the command line.
+type Command struct {
+	Name    string
+	Summary string
+	Run     func(c Console, args []string) error
+}
+
+// Dispatch runs the command named by the first argument and returns the exit code.
+func Dispatch(c Console, args []string, commands []Command) int {
+	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
+		usage(c.Out, commands)
+		if len(args) == 0 {
+			return fault.Usage.Exit()
+		}
+		return 0
+	}
+	for i := range commands {
+		if commands[i].Name == args[0] {
+			return Exit(c, commands[i].Run(c, args[1:]))
+		}
+	}
+	usage(c.Err, commands)
+	return Exit(c, fault.New(fault.Usage, "read command line", "", "unknown command %q", args[0]))
+}
+
+func usage(w io.Writer, commands []Command) {
+	fmt.Fprintln(w, "usage: load COMMAND [flags]\n\ncommands:")
+	for i := range commands {
+		fmt.Fprintf(w, "  %-11s %s\n", commands[i].Name, commands[i].Summary)
+	}
+	fmt.Fprintln(w, "\nload COMMAND --help shows the flags and examples of a command.")
+}
+
+// Exit prints err, if any, and returns its exit code.
+func Exit(c Console, err error) int {
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	fmt.Fprintln(c.Err, "load:", err)
+	var problems *settings.Problems
+	if errors.As(err, &problems) {
+		return fault.Invalid.Exit()
+	}
+	return fault.Of(err).Code.Exit()
+}
+
+// Flags returns a flag set whose help shows the examples.
+func Flags(c Console, name, arguments string, examples ...string) *flag.FlagSet {
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.SetOutput(c.Err)
+	set.Usage = func() {
+		fmt.Fprintf(c.Out, "usage: load %s %s\n\nflags:\n", name, arguments)
+		set.SetOutput(c.Out)
+		set.PrintDefaults()
+		fmt.Fprintf(c.Out, "\nexamples:\n  %s\n", strings.Join(examples, "\n  "))
+	}
+	return set
+}
+
+// Parse reads the arguments into set; each of the required flags must be present.
+func Parse(set *flag.FlagSet, args []string, required ...string) error {
+	if err := set.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return fault.New(fault.Usage, "read flags", "", "%v", err)
+	}
+	for _, name := range required {
+		if f := set.Lookup(name); f.Value.String() == "" {
+			return fault.New(fault.Usage, "read flags", "", "--%s is required", name)
+		}
+	}
+	return nil
+}
+
+// Write stores text in a file, or writes it to out where path is "-" or empty.
+func Write(out io.Writer, path string, text []byte) error {
+	if path == "" || path == "-" {
+		_, err := out.Write(text)
+		return fault.Wrap(err, fault.Internal, "write output", path)
+	}
+	return fault.Wrap(os.WriteFile(path, text, 0o644), fault.Internal, "write output", path)
+}
--- a/load/main.go
+++ b/load/main.go
@@ -1,3 +1,18 @@
 package main
 
-func main() {}
+import (
+	"os"
+
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/load/caller"
+	"cuminfall.example/load/command"
+	"cuminfall.example/load/upstream"
+)
+
+func main() {
+	console := command.Console{Out: os.Stdout, Err: os.Stderr, Clock: clock.System{}}
+	os.Exit(command.Dispatch(console, os.Args[1:], []command.Command{
+		upstream.Command(),
+		caller.Command(),
+	}))
+}
