--- a/load/main.go
+++ b/load/main.go
@@ -6,6 +6,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/load/caller"
 	"cuminfall.example/load/command"
+	"cuminfall.example/load/relay"
 	"cuminfall.example/load/upstream"
 )
 
@@ -14,5 +15,6 @@
 	os.Exit(command.Dispatch(console, os.Args[1:], []command.Command{
 		upstream.Command(),
 		caller.Command(),
+		relay.Command(),
 	}))
 }
--- a/load/report/entitlement.go
+++ b/load/report/entitlement.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// rounding allows for the sums of many small additions.
+const rounding = 1e-6
+
 // Entitled returns how many of the requests, offered at the given times in order,
 // a token bucket of the rate and burst admits; the bucket starts full.
 func Entitled(e Entitlement, offered []time.Duration) int {
@@ -14,7 +17,7 @@
 	for _, at := range offered {
 		tokens = math.Min(e.Burst, tokens+float64(e.Rate)*(at-last).Seconds())
 		last = at
-		if tokens >= 1 {
+		if tokens >= 1-rounding {
 			tokens--
 			admitted++
 		}
--- a/load/upstream/fault.go
+++ b/load/upstream/fault.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cuminfall.example/fleet/fault"
+	"cuminfall.example/load/command"
 )
 
 // Step is a point of a request at which an endpoint can reset the connection.
@@ -18,28 +19,15 @@
 	Half    Step = "half"    // halfway through the answer's body
 )
 
-// Span is a duration that is text in JSON, such as "1.5s".
-type Span struct{ time.Duration }
-
-// MarshalText implements encoding.TextMarshaler.
-func (s Span) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *Span) UnmarshalText(text []byte) error {
-	d, err := time.ParseDuration(string(text))
-	s.Duration = d
-	return fault.Wrap(err, fault.Invalid, "read duration", "")
-}
-
 // Fault is what an endpoint does wrong; the zero value is nothing.
 type Fault struct {
-	Step   Step    `json:"step"`
-	Cross  bool    `json:"cross"`  // two answers at a time change places
-	Extra  bool    `json:"extra"`  // a second, unasked answer follows each answer
-	Late   Span    `json:"late"`   // added to each run, whatever the deadline or the caller does
-	Factor float64 `json:"factor"` // on service times; 0 means 1
-	Silent bool    `json:"silent"` // connections open now go silent; new ones work
-	Count  int     `json:"count"`  // requests that it hits; 0 means all
+	Step   Step         `json:"step"`
+	Cross  bool         `json:"cross"`  // two answers at a time change places
+	Extra  bool         `json:"extra"`  // a second, unasked answer follows each answer
+	Late   command.Span `json:"late"`   // added to each run, whatever the deadline or the caller does
+	Factor float64      `json:"factor"` // on service times; 0 means 1
+	Silent bool         `json:"silent"` // connections open now go silent; new ones work
+	Count  int          `json:"count"`  // requests that it hits; 0 means all
 }
 
 func (f Fault) check() error {
@@ -67,9 +55,9 @@
 
 // Reporting is how an endpoint reports its load.
 type Reporting struct {
-	Mode  Mode  `json:"mode"`
-	Lag   Span  `json:"lag"`
-	Value int64 `json:"value"` // the load that a lying endpoint reports
+	Mode  Mode         `json:"mode"`
+	Lag   command.Span `json:"lag"`
+	Value int64        `json:"value"` // the load that a lying endpoint reports
 }
 
 func (r Reporting) check() error {
