--- a/control/member.go
+++ b/control/member.go
@@ -4,6 +4,7 @@
 	"cuminfall.example/control/replica"
 	"cuminfall.example/control/server/runcmd"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/rpc"
 )
 
@@ -21,6 +22,7 @@
 	r, err := replica.Open(replica.Options{
 		Name: env.Settings.Name, Address: env.Settings.Address, Folder: env.Settings.Data, Peers: env.Settings.Peers,
 		Machine: env.Ledger, Clock: env.Clock, Log: env.Log, Metrics: env.Metrics,
+		Source: process.Source(env.Settings.Bind()),
 	})
 	if err != nil {
 		return nil, err
--- a/control/replica/peers.go
+++ b/control/replica/peers.go
@@ -16,9 +16,10 @@
 
 // peers holds one transport per address, so that a silent peer holds up no other.
 type peers struct {
-	fixed http.RoundTripper
-	mu    sync.Mutex
-	known map[ident.Address]*remote
+	source net.Addr // of connections; nil lets the host choose
+	fixed  http.RoundTripper
+	mu     sync.Mutex
+	known  map[ident.Address]*remote
 }
 
 // remote is the client of one address.
@@ -27,8 +28,8 @@
 	transport *http.Transport // nil with a fixed transport
 }
 
-func newPeers(fixed http.RoundTripper) *peers {
-	return &peers{fixed: fixed, known: map[ident.Address]*remote{}}
+func newPeers(fixed http.RoundTripper, source net.Addr) *peers {
+	return &peers{fixed: fixed, source: source, known: map[ident.Address]*remote{}}
 }
 
 func (p *peers) to(address ident.Address) *remote {
@@ -41,7 +42,7 @@
 	var transport = p.fixed
 	if transport == nil {
 		r.transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: exchangeTimeout}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: exchangeTimeout, LocalAddr: p.source}).DialContext,
 			MaxIdleConnsPerHost: 8,
 			IdleConnTimeout:     time.Minute,
 		}
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -37,6 +38,7 @@
 	Clock         clock.Clock
 	Log           logrus.FieldLogger
 	Metrics       metrics.Registry
+	Source        net.Addr          // of connections to other members; nil lets the host choose
 	SnapshotEvery int               // entries between snapshots; 0 means 4096
 	Disk          journal.Disk      // in place of Folder, for tests
 	Transport     http.RoundTripper // in place of one transport per peer, for tests
@@ -97,7 +99,7 @@
 		answers: map[consensus.Token]chan proto.Message{}, decisions: map[consensus.Token]*waiter{},
 		waiters: map[ident.Index]*waiter{}, failed: make(chan struct{}), ctx: context.Background(),
 		wakeDisk: make(chan struct{}, 1), wakeApply: make(chan struct{}, 1), wakePropose: make(chan struct{}, 1)}
-	r.peers = newPeers(opts.Transport)
+	r.peers = newPeers(opts.Transport, opts.Source)
 	if err := r.open(); err != nil {
 		if r.folder != nil {
 			_ = r.folder.Close()
--- a/control/server/runcmd/run.go
+++ b/control/server/runcmd/run.go
@@ -98,7 +98,7 @@
 
 func (o *Options) serve(ctx context.Context, env Environment, member Member, srv *server.Server) error {
 	s := env.Settings
-	public, err := process.Listen(string(s.Address))
+	public, err := process.Listen(s.Bind())
 	if err != nil {
 		return err
 	}
--- a/control/server/settings.go
+++ b/control/server/settings.go
@@ -12,6 +12,7 @@
 type Settings struct {
 	Name    string          `toml:"name"`
 	Address ident.Address   `toml:"address"` // of this member, towards the group, entry VMs and operators
+	Listen  ident.Address   `toml:"listen"`  // where the member listens, if not on address
 	Admin   ident.Address   `toml:"admin"`   // of metrics and health
 	Data    string          `toml:"data"`    // folder
 	Peers   []ident.Address `toml:"peers"`   // other members
@@ -28,6 +29,14 @@
 	return &Settings{Level: "info", Lease: t.Lease, Plan: t.Plan, Suspect: t.Suspect, Offline: t.Offline}
 }
 
+// Bind returns the address that the member listens on.
+func (s *Settings) Bind() string {
+	if s.Listen != "" {
+		return string(s.Listen)
+	}
+	return string(s.Address)
+}
+
 // Timings returns the timings of the soft state.
 func (s *Settings) Timings() Timings {
 	return Timings{Lease: s.Lease, Plan: s.Plan, Suspect: s.Suspect, Offline: s.Offline}
@@ -37,6 +46,9 @@
 func (s *Settings) Check(c *settings.Checker) {
 	c.Name("name", s.Name)
 	c.Address("address", string(s.Address))
+	if s.Listen != "" {
+		c.Address("listen", string(s.Listen))
+	}
 	c.Address("admin", string(s.Admin))
 	if s.Admin == s.Address && s.Admin != "" {
 		c.Fail("admin", string(s.Admin), "an address other than that of key address")
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 // Options configures a Client; zero durations mean the defaults.
 type Options struct {
+	Source  net.Addr // of connections to upstreams; nil lets the host choose
 	Clock   clock.Clock
 	Silence time.Duration // without progress, after which a connection is checked; 10 s by default
 	Dial    time.Duration // time-out of a new connection; 1 s by default
@@ -39,6 +41,7 @@
 
 // Client sends requests to upstreams.
 type Client struct {
+	source  net.Addr
 	Stats   Stats
 	clock   clock.Clock
 	silence time.Duration
@@ -50,7 +53,7 @@
 
 // New returns a client that knows no endpoint yet.
 func New(o Options) *Client {
-	c := &Client{clock: o.Clock, silence: o.Silence, dial: o.Dial, idle: o.Idle, pools: make(map[ident.Address]*pool)}
+	c := &Client{source: o.Source, clock: o.Clock, silence: o.Silence, dial: o.Dial, idle: o.Idle, pools: make(map[ident.Address]*pool)}
 	if c.clock == nil {
 		c.clock = clock.System{}
 	}
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -118,7 +118,7 @@
 
 func (p *pool) connect(ctx context.Context, deadline time.Time) (*net.TCPConn, error) {
 	d := net.Dialer{
-		Timeout: p.client.dial, Deadline: deadline, Control: UserTimeout(2 * p.client.silence),
+		Timeout: p.client.dial, Deadline: deadline, LocalAddr: p.client.source, Control: UserTimeout(2 * p.client.silence),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.client.silence / 2, Interval: p.client.silence / 4, Count: 3},
 	}
 	raw, err := d.DialContext(ctx, "tcp", string(p.address))
--- a/entry/gateway/run/run.go
+++ b/entry/gateway/run/run.go
@@ -117,7 +117,7 @@
 	// What callers and control need outlives ctx until the stop is complete.
 	work, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	callers, err := gateway.Listen(work, ident.Address(c.settings.Address), c.settings.Silence)
+	callers, err := gateway.Listen(work, ident.Address(c.settings.bind()), c.settings.Silence)
 	if err != nil {
 		return err
 	}
@@ -172,9 +172,10 @@
 	for i, a := range s.Control {
 		control[i] = ident.Address(a)
 	}
-	c.forward = forward.New(forward.Options{Clock: c.Clock, Silence: s.Silence, Dial: s.Dial})
+	c.forward = forward.New(forward.Options{Source: process.Source(s.bind()), Clock: c.Clock, Silence: s.Silence, Dial: s.Dial})
 	c.session = session.New(session.Options{
-		Clock: c.Clock, Log: c.log, Control: control, Seed: int64(incarnation), Period: s.Sync, Timeout: s.Timeout,
+		Source: process.Source(s.bind()),
+		Clock:  c.Clock, Log: c.log, Control: control, Seed: int64(incarnation), Period: s.Sync, Timeout: s.Timeout,
 	})
 	r := router.New(router.Config{
 		VM: ident.VM(s.Name), Incarnation: ident.Incarnation(incarnation), Address: ident.Address(s.Address),
--- a/entry/gateway/run/settings.go
+++ b/entry/gateway/run/settings.go
@@ -12,6 +12,7 @@
 type Settings struct {
 	Name      string        `toml:"name"`      // of the VM, unique in the fleet
 	Address   string        `toml:"address"`   // towards callers
+	Listen    string        `toml:"listen"`    // where the VM listens, if not on address
 	Admin     string        `toml:"admin"`     // /metrics and /health
 	Domain    string        `toml:"domain"`    // failure domain of the VM
 	Control   []string      `toml:"control"`   // addresses of control VMs
@@ -32,10 +33,21 @@
 	}
 }
 
+// bind returns the address that the VM listens on.
+func (s *Settings) bind() string {
+	if s.Listen != "" {
+		return s.Listen
+	}
+	return s.Address
+}
+
 // Check implements settings.Checked.
 func (s *Settings) Check(c *settings.Checker) {
 	c.Name("name", s.Name)
 	c.Address("address", s.Address)
+	if s.Listen != "" {
+		c.Address("listen", s.Listen)
+	}
 	c.Address("admin", s.Admin)
 	c.Name("domain", s.Domain)
 	c.Addresses("control", s.Control)
--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -28,6 +28,7 @@
 
 // Options configures a Session; zero durations mean the defaults.
 type Options struct {
+	Source  net.Addr // of connections to control; nil lets the host choose
 	Clock   clock.Clock
 	Log     *logrus.Logger
 	Control []ident.Address
@@ -45,6 +46,7 @@
 
 // Session talks to the control group.
 type Session struct {
+	source  net.Addr
 	Stats   Stats
 	clock   clock.Clock
 	log     *logrus.Logger
@@ -70,7 +72,7 @@
 // New returns a session that has not exchanged anything yet.
 func New(o Options) *Session {
 	s := &Session{
-		clock: o.Clock, log: o.Log, period: o.Period, timeout: o.Timeout, seeds: o.Control,
+		clock: o.Clock, log: o.Log, period: o.Period, timeout: o.Timeout, seeds: o.Control, source: o.Source,
 		asked: make(chan struct{}, 1), jitter: rand.New(rand.NewSource(o.Seed)),
 	}
 	if s.clock == nil {
@@ -94,7 +96,7 @@
 
 func (s *Session) newPeer(a ident.Address) *peer {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: s.timeout, KeepAlive: s.timeout}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: s.timeout, KeepAlive: s.timeout, LocalAddr: s.source}).DialContext,
 		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 	}
 	return &peer{
--- a/load/relay/link.go
+++ b/load/relay/link.go
@@ -108,22 +108,24 @@
 		if err != nil {
 			return
 		}
-		l.mu.Lock()
-		refuse := l.state.Refuse
-		l.mu.Unlock()
-		if refuse {
-			reset(c)
-			continue
-		}
-		p := &pair{link: l, near: c, closed: make(chan struct{})}
-		l.mu.Lock()
-		l.pairs[p] = true
-		l.total++
-		l.mu.Unlock()
-		go p.run()
+		l.take(c)
 	}
 }
 
+// take passes one accepted connection on.
+func (l *Link) take(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state.Refuse {
+		reset(c)
+		return
+	}
+	p := &pair{link: l, near: c, closed: make(chan struct{})}
+	l.pairs[p] = true
+	l.total++
+	go p.run()
+}
+
 // Stop closes the listener and all connections.
 func (l *Link) Stop() {
 	l.mu.Lock()
