--- /dev/null
+++ b/scenario/traffic_test.go
@@ -0,0 +1,369 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"cuminfall.example/fleet/fault"
+	load "cuminfall.example/load/answer"
+	"cuminfall.example/load/report"
+	"cuminfall.example/load/upstream"
+)
+
+// answer is what a caller saw of one request.
+type answer struct {
+	request string
+	status  int // 0 when no whole answer came
+	code    fault.Code
+	run     fault.Run
+	peer    string
+	body    string
+	reached bool // a connection was opened
+	span    time.Duration
+	err     error
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("request %s: status %d code %q run %q after %s, error %v, body %.200s", a.request, a.status, a.code, a.run, a.span.Round(time.Millisecond), a.err, a.body)
+}
+
+// differs says how an answer differs from the wanted one, or "".
+func (a answer) differs(p params) string {
+	want := p.text("want", "200")
+	if got := fmt.Sprint(a.status); got != want {
+		return "status " + got + ", want " + want
+	}
+	if code, ok := p["code"]; ok && code != string(a.code) {
+		return "code " + string(a.code) + ", want " + code
+	}
+	if run, ok := p["run"]; ok && run != string(a.run) {
+		return "run " + string(a.run) + ", want " + run
+	}
+	if a.status == http.StatusOK && p["once"] == "" && !strings.Contains(a.body, `"request":"`+a.request+`"`) {
+		return "the answer is to another request"
+	}
+	return ""
+}
+
+var requests atomic.Int64
+
+// send makes one request with a connection of its own unless shared=yes.
+func (f *fleet) send(p params) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return f.sendWith(client, p)
+}
+
+func (f *fleet) sendWith(client *http.Client, p params) (a answer) {
+	a = answer{request: fmt.Sprintf("s%d", requests.Add(1))}
+	if id := p["request"]; id != "" {
+		a.request = id
+	}
+	limit := p.span("timeout", 5*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), limit+2*time.Second)
+	defer cancel()
+	method := p.text("method", http.MethodGet)
+	var body io.Reader
+	if size := p.count("size", 0); size > 0 {
+		method = http.MethodPost
+		body = &paced{left: size, pause: p.span("pause", 0)}
+	}
+	if p["once"] != "" {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s:%d%s", f.procs[p["entry"]].host, frontPort, p["path"])
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	r.Header.Set(load.RequestHeader, a.request)
+	if limit > 0 {
+		r.Header.Set("Request-Timeout", limit.String())
+	}
+	if p["key"] != "" {
+		r.Header.Set("Authorization", "Bearer "+p["key"])
+	}
+	if p["once"] != "" {
+		r.Header.Set("Idempotency-Key", p["once"])
+	}
+	if name, value, ok := strings.Cut(p["header"], ":"); ok {
+		r.Header.Add(name, value)
+	}
+	began := time.Now()
+	defer func() { a.span = time.Since(began) }()
+	reply, err := client.Do(r)
+	if err != nil {
+		a.err = err
+		var op *net.OpError
+		a.reached = !(asOp(err, &op) && op.Op == "dial")
+		return a
+	}
+	defer reply.Body.Close()
+	a.reached = true
+	text, err := io.ReadAll(reply.Body)
+	a.err = err
+	if err != nil {
+		return a
+	}
+	a.status = reply.StatusCode
+	a.body = string(text)
+	a.run = fault.Run(reply.Header.Get("Cuminfall-Run"))
+	if a.run != "" {
+		var refusal fault.Error
+		if json.Unmarshal(text, &refusal) == nil {
+			a.code = refusal.Code
+			a.peer = refusal.Peer
+		}
+	}
+	return a
+}
+
+// paced is a body that comes slowly: a pause before each KiB.
+type paced struct {
+	left  int
+	pause time.Duration
+}
+
+func (b *paced) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := min(len(p), b.left)
+	if b.pause > 0 {
+		n = min(n, 1024)
+	}
+	copy(p, bytes.Repeat([]byte("x"), n))
+	b.left -= n
+	return n, nil
+}
+
+// traffic is open-loop load in the background.
+type traffic struct {
+	params  params
+	entries []string
+	stop    chan struct{}
+	done    sync.WaitGroup
+	mu      sync.Mutex
+	answers []answer
+}
+
+// cmdTraffic starts load: traffic NAME rate=100 entries=entry1,entry2 path=/read/x key=$KEY.
+func cmdTraffic(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	t := &traffic{params: parse(ts, args[1:]), stop: make(chan struct{})}
+	t.entries = strings.Split(t.params["entries"], ",")
+	f.traffics[args[0]] = t
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+	rate := t.params.count("rate", 50)
+	t.done.Add(1)
+	go func() {
+		defer t.done.Done()
+		began := time.Now()
+		for i := 0; ; i++ {
+			select {
+			case <-t.stop:
+				return
+			case <-time.After(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate)))):
+			}
+			t.done.Add(1)
+			go t.one(f, client, i)
+		}
+	}()
+}
+
+// one sends a request and, where it was refused as not run or not reached, goes on to the next VM as a caller would.
+func (t *traffic) one(f *fleet, client *http.Client, i int) {
+	defer t.done.Done()
+	p := params{}
+	for k, v := range t.params {
+		p[k] = v
+	}
+	if once := p["once"]; once != "" {
+		p["once"] = fmt.Sprintf("%s-%d", once, i)
+	}
+	var a answer
+	for n := range len(t.entries) {
+		p["entry"] = t.entries[(i+n)%len(t.entries)]
+		a = f.sendWith(client, p)
+		passing := !a.reached || a.run == fault.NotRun && (a.code == fault.Stale || a.code == fault.Stopping || a.code == fault.Unreachable)
+		if !passing || t.params["next"] == "no" {
+			break
+		}
+	}
+	t.mu.Lock()
+	t.answers = append(t.answers, a)
+	t.mu.Unlock()
+}
+
+// cmdJoin ends load and waits for its answers.
+func cmdJoin(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		t := fleetOf(ts).traffics[name]
+		close(t.stop)
+		t.done.Wait()
+		tally := t.tally()
+		ts.Logf("%s: %v", name, tally)
+		for _, a := range t.sample() {
+			ts.Logf("  %s", a)
+		}
+	}
+}
+
+// sample returns some of the answers that were not 200.
+func (t *traffic) sample() []answer {
+	var list []answer
+	for _, a := range t.answers {
+		if a.status != http.StatusOK && len(list) < 5 {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// tally counts answers: all, ok, notrun, unknown, broken, and the slowest in milliseconds.
+func (t *traffic) tally() map[string]int {
+	c := map[string]int{"all": len(t.answers)}
+	for _, a := range t.answers {
+		switch {
+		case a.status == http.StatusOK:
+			c["ok"]++
+		case a.run == fault.NotRun:
+			c["notrun"]++
+		case a.run == fault.Unknown:
+			c["unknown"]++
+		default:
+			c["broken"]++
+		}
+		c["slowest"] = max(c["slowest"], int(a.span.Milliseconds()))
+	}
+	return c
+}
+
+// cmdExpect checks a tally: expect NAME ok>=100 broken==0.
+func cmdExpect(ts *testscript.TestScript, _ bool, args []string) {
+	c := fleetOf(ts).traffics[args[0]].tally()
+	for _, rule := range args[1:] {
+		op := "=="
+		for _, candidate := range []string{"==", ">=", "<="} {
+			if strings.Contains(rule, candidate) {
+				op = candidate
+			}
+		}
+		name, text, _ := strings.Cut(rule, op)
+		limit := params{"n": text}.count("n", 0)
+		if percent, ok := strings.CutSuffix(name, "%"); ok {
+			name = percent
+			limit = (c["all"]*limit + 99) / 100
+		}
+		got := c[name]
+		if op == "==" && got != limit || op == ">=" && got < limit || op == "<=" && got > limit {
+			ts.Fatalf("%s: %s is %d, rule %s (%v)", args[0], name, got, rule, c)
+		}
+	}
+}
+
+// record returns all runs of the stand-in upstreams.
+func (f *fleet) record() ([]upstream.Run, error) {
+	var all []upstream.Run
+	for {
+		var last uint64
+		if len(all) > 0 {
+			last = all[len(all)-1].Number
+		}
+		reply, err := f.client.Get(fmt.Sprintf("http://%s:%d/v1/runs?after=%d", f.host(upstreamHost), adminPort, last))
+		if err != nil {
+			return nil, err
+		}
+		var page upstream.Page
+		err = json.NewDecoder(reply.Body).Decode(&page)
+		reply.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		if len(page.Runs) == 0 {
+			return all, nil
+		}
+		all = append(all, page.Runs...)
+	}
+}
+
+// cmdRuns compares the stand-ins' record with the answers. It always checks
+// that no run saw a key, that each idempotency key ran once and that no request
+// answered "not run" ran. Further rules: rate=R burst=B workspace=W for every
+// window, none=ID and one=ID for the runs of an idempotency key.
+func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	p := parse(ts, args)
+	runs, err := f.record()
+	ts.Check(err)
+	byRequest := map[string]int{}
+	once := map[string]int{}
+	var starts []time.Time
+	for _, r := range runs {
+		if len(r.Keys) > 0 {
+			ts.Fatalf("run %d saw a key in %v", r.Number, r.Keys)
+		}
+		byRequest[r.Request]++
+		if r.Idempotency != "" {
+			once[r.Idempotency]++
+		}
+		if string(r.Workspace) == p["workspace"] {
+			starts = append(starts, r.Start)
+		}
+	}
+	for key, n := range once {
+		if n > 1 {
+			ts.Fatalf("idempotency key %s ran %d times", key, n)
+		}
+	}
+	for name, t := range f.traffics {
+		for _, a := range t.answers {
+			if (a.run == fault.NotRun || !a.reached) && byRequest[a.request] > 0 {
+				ts.Fatalf("%s: %s, but it ran", name, a)
+			}
+		}
+	}
+	if id := p["none"]; id != "" && once[id] != 0 {
+		ts.Fatalf("%s ran %d times, want none", id, once[id])
+	}
+	if id := p["one"]; id != "" && once[id] != 1 {
+		ts.Fatalf("%s ran %d times, want one", id, once[id])
+	}
+	if p["rate"] != "" {
+		sort.Slice(starts, func(i, j int) bool { return starts[i].Before(starts[j]) })
+		need := report.Need(float64(p.count("rate", 0)), starts)
+		ts.Logf("%d runs of %s; the windows need a burst of %.1f", len(starts), p["workspace"], need)
+		if need > float64(p.count("burst", 0)) {
+			ts.Fatalf("%s: some window needs a burst of %.1f over %s/s, allowed %s", p["workspace"], need, p["rate"], p["burst"])
+		}
+	}
+	ts.Logf("%d runs", len(runs))
+}
+
+// cmdFault sets a fault on the stand-ins: fault endpoint-query JSON.
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	r, err := http.NewRequest(args[0], fmt.Sprintf("http://%s:%d%s", f.host(upstreamHost), adminPort, args[1]), strings.NewReader(strings.Join(args[2:], " ")))
+	ts.Check(err)
+	reply, err := f.client.Do(r)
+	ts.Check(err)
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	ts.Check(err)
+	if reply.StatusCode >= http.StatusBadRequest {
+		ts.Fatalf("%s %s: %d %s", args[0], args[1], reply.StatusCode, text)
+	}
+}
