--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -237,6 +237,9 @@
 func (t *traffic) tally() map[string]int {
 	c := map[string]int{"all": len(t.answers)}
 	for _, a := range t.answers {
+		if a.code != "" {
+			c[string(a.code)]++
+		}
 		switch {
 		case a.status == http.StatusOK:
 			c["ok"]++
