--- a/control/server/server.go
+++ b/control/server/server.go
@@ -41,9 +41,10 @@
 // DefaultTimings are the timings of the design.
 var DefaultTimings = Timings{Lease: 3 * time.Second, Plan: 200 * time.Millisecond, Suspect: 3 * time.Second, Offline: 30 * time.Second}
 
-// lapse is how long after its last reply a lease counts as lapsed: 2% more
-// than the lease, because holder's and leader's clocks may each be off by 1%.
-func (t Timings) lapse() time.Duration { return t.Lease + t.Lease/50 }
+// lapse is how long after its last reply a lease counts as lapsed. The margin
+// of 2.5% covers a holder's clock that is 1% slow and a leader's that is 1%
+// fast: 2% would not, since 1.01/0.99 is 1.0203.
+func (t Timings) lapse() time.Duration { return t.Lease + t.Lease/40 }
 
 // Options configure a Server.
 type Options struct {
