--- a/control/member.go
+++ b/control/member.go
@@ -1,15 +1,54 @@
 package main
 
 import (
+	"cuminfall.example/control/consensus"
+	"cuminfall.example/control/replica"
 	"cuminfall.example/control/server/runcmd"
-	"cuminfall.example/fleet/fault"
-	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/rpc"
 )
 
-func initFolder(folder, _ string, _ ident.Address, _ [][]byte) error {
-	return fault.New(fault.Internal, "init", folder, "this build has no replica")
+// member adapts a replica to what the server needs of it.
+type member struct {
+	*replica.Replica
+	name string
 }
 
 func openMember(env runcmd.Environment) (runcmd.Member, error) {
-	return nil, fault.New(fault.Internal, "open member", env.Settings.Data, "this build has no replica")
+	r, err := replica.Open(replica.Options{
+		Name: env.Settings.Name, Address: env.Settings.Address, Folder: env.Settings.Data, Peers: env.Settings.Peers,
+		Machine: env.Ledger, Clock: env.Clock, Log: env.Log, Metrics: env.Metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &member{Replica: r, name: env.Settings.Name}, nil
+}
+
+// role returns the word that operators see for a member's part in the group.
+func role(s replica.Status) string {
+	if s.Cut {
+		return "cut_off"
+	}
+	for _, m := range s.Members {
+		if m.ID == s.ID && !m.Voter {
+			return "learner"
+		}
+	}
+	if s.Role == consensus.PreCandidate {
+		return consensus.Candidate.String()
+	}
+	return s.Role.String()
+}
+
+// Group implements server.Replica.
+func (m *member) Group() *rpc.StatusReply {
+	s := m.Status()
+	g := &rpc.StatusReply{
+		Member: m.name, Role: role(s), Term: uint64(s.Term), Leader: string(s.Leader),
+		Committed: uint64(s.Committed), Applied: uint64(s.Applied), Cut: s.Cut,
+	}
+	for _, c := range s.Members {
+		g.Members = append(g.Members, &rpc.ControlMember{Id: string(c.ID), Name: c.Name, Address: string(c.Address), Voter: c.Voter})
+	}
+	return g
 }
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -103,6 +103,9 @@
 	_ rpc.Operations = (*Server)(nil)
 )
 
+// proposeTime bounds the wait for a commit; callers give up after a second.
+const proposeTime = 2 * time.Second
+
 // lead returns the term that this member leads, or why it does not.
 func (s *Server) lead(step string) (ident.Term, error) {
 	term, since, ok := s.replica.Lead()
@@ -142,6 +145,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
 	result, err := s.replica.Propose(ctx, data)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unreachable, step, "")
--- a/control/server/sim_test.go
+++ b/control/server/sim_test.go
@@ -108,7 +108,6 @@
 	index   ident.Index
 	logTime time.Duration
 	leader  *leader
-	ledgers []*ledger.Ledger
 	pending [][]byte
 	holders []*holder
 	net     []*message
