--- a/control/lender/plan.go
+++ b/control/lender/plan.go
@@ -29,7 +29,8 @@
 	Waiting uint32  // requests
 }
 
-func (d Demand) weight() float64 { return max(0, d.Wanted) + float64(d.Waiting) }
+// weight is what is wanted, which includes the waiting requests where the holder counts them in.
+func (d Demand) weight() float64 { return max(0, d.Wanted, float64(d.Waiting)) }
 
 // Holder is a live holder.
 type Holder struct {
--- a/control/main.go
+++ b/control/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"cuminfall.example/control/replica"
 	"cuminfall.example/control/server/initcmd"
 	"cuminfall.example/control/server/runcmd"
 	"cuminfall.example/fleet/clock"
@@ -35,7 +36,7 @@
 	}
 	switch args[0] {
 	case "init":
-		o, err := initcmd.New(args[1:], out, errs, initFolder)
+		o, err := initcmd.New(args[1:], out, errs, replica.Init)
 		if err != nil {
 			return err
 		}
--- a/control/member.go
+++ b/control/member.go
@@ -1,23 +1,19 @@
 package main
 
 import (
+	"cuminfall.example/control/consensus"
 	"cuminfall.example/control/replica"
 	"cuminfall.example/control/server/runcmd"
-	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/rpc"
 )
 
-// member adds what the server needs to a replica.
+// member adapts a replica to what the server needs of it.
 type member struct {
 	*replica.Replica
 	name string
 }
 
-func initFolder(folder, name string, address ident.Address, first [][]byte) error {
-	return replica.Init(folder, name, address, first)
-}
-
 func openMember(env runcmd.Environment) (runcmd.Member, error) {
 	r, err := replica.Open(replica.Options{
 		Name: env.Settings.Name, Address: env.Settings.Address, Folder: env.Settings.Data, Peers: env.Settings.Peers,
@@ -30,20 +26,31 @@
 	return &member{Replica: r, name: env.Settings.Name}, nil
 }
 
-// Group describes the group as this member sees it.
+// role returns the word that operators see for a member's part in the group.
+func role(s replica.Status) string {
+	if s.Cut {
+		return "cut_off"
+	}
+	for _, m := range s.Members {
+		if m.ID == s.ID && !m.Voter {
+			return "learner"
+		}
+	}
+	if s.Role == consensus.PreCandidate {
+		return consensus.Candidate.String()
+	}
+	return s.Role.String()
+}
+
+// Group implements server.Replica.
 func (m *member) Group() *rpc.StatusReply {
 	s := m.Status()
-	reply := &rpc.StatusReply{
-		Member: m.name, Role: s.Role.String(), Term: uint64(s.Term), Leader: string(s.Leader),
+	g := &rpc.StatusReply{
+		Member: m.name, Role: role(s), Term: uint64(s.Term), Leader: string(s.Leader),
 		Committed: uint64(s.Committed), Applied: uint64(s.Applied), Cut: s.Cut,
 	}
-	if s.Cut {
-		reply.Role = "cut_off"
-	}
-	for _, p := range s.Members {
-		reply.Members = append(reply.Members, &rpc.ControlMember{
-			Id: string(p.ID), Name: p.Name, Address: string(p.Address), Voter: p.Voter,
-		})
+	for _, c := range s.Members {
+		g.Members = append(g.Members, &rpc.ControlMember{Id: string(c.ID), Name: c.Name, Address: string(c.Address), Voter: c.Voter})
 	}
-	return reply
+	return g
 }
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -41,9 +41,10 @@
 // DefaultTimings are the timings of the design.
 var DefaultTimings = Timings{Lease: 3 * time.Second, Plan: 200 * time.Millisecond, Suspect: 3 * time.Second, Offline: 30 * time.Second}
 
-// lapse is how long after its last reply a lease counts as lapsed: 2% more
-// than the lease, because holder's and leader's clocks may each be off by 1%.
-func (t Timings) lapse() time.Duration { return t.Lease + t.Lease/50 }
+// lapse is how long after its last reply a lease counts as lapsed. The margin
+// of 2.5% covers a holder's clock that is 1% slow and a leader's that is 1%
+// fast: 2% would not, since 1.01/0.99 is 1.0203.
+func (t Timings) lapse() time.Duration { return t.Lease + t.Lease/40 }
 
 // Options configure a Server.
 type Options struct {
@@ -102,6 +103,9 @@
 	_ rpc.Operations = (*Server)(nil)
 )
 
+// proposeTime bounds the wait for a commit; callers give up after a second.
+const proposeTime = 2 * time.Second
+
 // lead returns the term that this member leads, or why it does not.
 func (s *Server) lead(step string) (ident.Term, error) {
 	term, since, ok := s.replica.Lead()
@@ -141,6 +145,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTime)
+	defer cancel()
 	result, err := s.replica.Propose(ctx, data)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Unreachable, step, "")
