--- a/load/caller/exchange.go
+++ b/load/caller/exchange.go
@@ -29,6 +29,7 @@
 	Attempts int
 	Peer     string
 	Message  string
+	Path     string // set by paths that choose between others
 	reached  bool
 }
 
--- a/load/caller/run.go
+++ b/load/caller/run.go
@@ -19,6 +19,9 @@
 	Clock    clock.Clock
 	Tag      string // first part of the request ids, unique per run
 
+	// Begin, if set, is called when the run starts.
+	Begin func(start time.Time)
+
 	mu      sync.Mutex
 	samples []report.Sample
 }
@@ -31,6 +34,9 @@
 	plan := Plan(r.Settings, r.Tag)
 	r.samples = make([]report.Sample, 0, len(plan))
 	start := r.Clock.Now()
+	if r.Begin != nil {
+		r.Begin(start)
+	}
 	places := make(chan struct{}, r.Settings.Most)
 	var sending sync.WaitGroup
 	for i := range plan {
@@ -63,7 +69,7 @@
 		Request: request.ID, Workspace: request.Workspace.Name, Service: request.Service.Name, Once: request.Service.Once,
 		Intended: request.At, Sent: sent.Sub(start), Done: done.Sub(start),
 		Kind: result.Kind, Status: result.Status, Code: result.Code, Run: result.Run,
-		Attempts: result.Attempts, Peer: result.Peer, Repeat: request.Repeat, Message: result.Message,
+		Attempts: result.Attempts, Peer: result.Peer, Repeat: request.Repeat, Message: result.Message, Path: result.Path,
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/load/caller/settings.go
+++ b/load/caller/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"cuminfall.example/fleet/ident"
@@ -68,35 +70,38 @@
 }
 
 // Check implements settings.Checked.
-func (s *Settings) Check(c *settings.Checker) {
+func (s *Settings) Check(c *settings.Checker) { s.CheckAs(c, "") }
+
+// CheckAs reports every fault under keys that start with prefix, for settings within others.
+func (s *Settings) CheckAs(c *settings.Checker, prefix string) {
 	s.fill()
-	c.Address("admin", s.Admin)
-	c.OneOf("level", s.Level, process.Levels...)
+	c.Address(prefix+"admin", s.Admin)
+	c.OneOf(prefix+"level", s.Level, process.Levels...)
 	for i, a := range s.Entries {
-		c.Address(fmt.Sprintf("entries[%d]", i), a)
+		c.Address(fmt.Sprintf("%sentries[%d]", prefix, i), a)
 	}
 	for i, a := range s.Upstreams {
-		c.Address(fmt.Sprintf("upstreams[%d]", i), a)
+		c.Address(fmt.Sprintf("%supstreams[%d]", prefix, i), a)
 	}
-	c.Span("warmup", s.Warmup, 0, time.Minute)
-	c.Span("duration", s.Duration, 100*time.Millisecond, 10*time.Minute)
-	c.Span("slack", s.Slack, 0, 10*time.Second)
+	c.Span(prefix+"warmup", s.Warmup, 0, time.Minute)
+	c.Span(prefix+"duration", s.Duration, 100*time.Millisecond, 10*time.Minute)
+	c.Span(prefix+"slack", s.Slack, 0, 10*time.Second)
 	if s.Most < 1 || s.Most > 20_000 {
-		c.Fail("most", fmt.Sprint(s.Most), "1 to 20000")
+		c.Fail(prefix+"most", fmt.Sprint(s.Most), "1 to 20000")
 	}
 	if len(s.Services) == 0 {
-		c.Fail("service", "none", "at least one [[service]]")
+		c.Fail(prefix+"service", "none", "at least one [[service]]")
 	}
 	known := make(map[ident.Service]bool)
 	for i := range s.Services {
 		known[s.Services[i].Name] = true
-		s.Services[i].check(c, fmt.Sprintf("service[%d].", i))
+		s.Services[i].check(c, fmt.Sprintf("%sservice[%d].", prefix, i))
 	}
 	if len(s.Workspaces) == 0 {
-		c.Fail("workspace", "none", "at least one [[workspace]]")
+		c.Fail(prefix+"workspace", "none", "at least one [[workspace]]")
 	}
 	for i := range s.Workspaces {
-		s.Workspaces[i].check(c, fmt.Sprintf("workspace[%d].", i), known)
+		s.Workspaces[i].check(c, fmt.Sprintf("%sworkspace[%d].", prefix, i), known)
 	}
 }
 
@@ -106,16 +111,11 @@
 		c.Fail(key+"prefix", fmt.Sprintf("%q", s.Prefix), "a path such as /forecast/")
 	}
 	c.Span(key+"timeout", s.Timeout, time.Millisecond, 24*time.Hour)
-	for name, size := range map[string]ident.Bytes{"body": s.Body, "answer": s.Answer, "upload": s.Upload} {
-		if size < 0 || size > 1<<30 {
-			c.Fail(key+name, fmt.Sprint(size), "0 to 1 GiB")
-		}
-	}
-	for name, f := range map[string]float64{"uploads": s.Uploads, "repeat": s.Repeat} {
-		if f < 0 || f > 1 {
-			c.Fail(key+name, fmt.Sprint(f), "0 to 1")
-		}
-	}
+	checkSize(c, key+"body", s.Body)
+	checkSize(c, key+"answer", s.Answer)
+	checkSize(c, key+"upload", s.Upload)
+	checkPart(c, key+"uploads", s.Uploads)
+	checkPart(c, key+"repeat", s.Repeat)
 	if s.Pace < 0 {
 		c.Fail(key+"pace", fmt.Sprint(s.Pace), "Mbit/s, 0 or more")
 	}
@@ -124,6 +124,18 @@
 	}
 }
 
+func checkSize(c *settings.Checker, key string, size ident.Bytes) {
+	if size < 0 || size > 1<<30 {
+		c.Fail(key, fmt.Sprint(size), "0 to 1 GiB")
+	}
+}
+
+func checkPart(c *settings.Checker, key string, part float64) {
+	if part < 0 || part > 1 {
+		c.Fail(key, fmt.Sprint(part), "0 to 1")
+	}
+}
+
 func (w *Workspace) check(c *settings.Checker, key string, known map[ident.Service]bool) {
 	c.Name(key+"name", string(w.Name))
 	if w.Rate <= 0 {
@@ -138,7 +150,8 @@
 	}
 	c.Span(key+"from", w.From, 0, 10*time.Minute)
 	c.Span(key+"span", w.Span, 0, 10*time.Minute)
-	for name, weight := range w.Mix {
+	for _, name := range slices.Sorted(maps.Keys(w.Mix)) {
+		weight := w.Mix[name]
 		if !known[name] {
 			c.Fail(key+"mix."+string(name), "an unknown service", "the name of a [[service]]")
 		}
--- a/load/command/command.go
+++ b/load/command/command.go
@@ -4,7 +4,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -95,12 +94,3 @@
 	}
 	return nil
 }
-
-// Write stores text in a file, or writes it to out where path is "-" or empty.
-func Write(out io.Writer, path string, text []byte) error {
-	if path == "" || path == "-" {
-		_, err := out.Write(text)
-		return fault.Wrap(err, fault.Internal, "write output", path)
-	}
-	return fault.Wrap(os.WriteFile(path, text, 0o644), fault.Internal, "write output", path)
-}
--- /dev/null
+++ b/load/deployment/files.go
@@ -0,0 +1,157 @@
+package deployment
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+
+	"github.com/BurntSushi/toml"
+
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/load/caller"
+	"cuminfall.example/load/upstream"
+)
+
+// Rates of workspaces: together they may use this part of the capacity, and offer
+// that part of their rates, so that steady traffic is 60% of the capacity.
+const (
+	entitledPart = 0.8
+	offeredPart  = 0.75
+)
+
+// burstSeconds is the burst of a workspace in seconds of its rate.
+const burstSeconds = 0.5
+
+// Operator is the account with which experiments change the document.
+const Operator = "experiment"
+
+// Credential is the operator's credential in the generated owners section; it guards nothing but stand-ins.
+const Credential = "experiment-credential"
+
+// Key returns the key of a workspace in the generated files.
+func Key(w ident.Workspace) string { return fmt.Sprintf("ck_%s_%s", w, secret(w)) }
+
+func secret(w ident.Workspace) string { return hash("secret of " + string(w))[:24] }
+
+func hash(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// Sections returns the document that operators would have for the deployment.
+func (d *Shape) Sections() map[document.Section]document.Part {
+	places := &document.Places{}
+	for i, r := range d.Regions {
+		places.Regions = append(places.Regions, document.Region{Name: r})
+		// Callers of region n have addresses in 127.0.(10+n).0/24.
+		prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 0, byte(10 + i), 0}), 24)
+		places.Blocks = append(places.Blocks, document.Block{Prefix: prefix, Region: r})
+		for _, to := range d.Regions {
+			if to != r {
+				places.Links = append(places.Links, document.Link{From: r, To: to, Rate: d.Link})
+			}
+		}
+	}
+	for _, domain := range d.Domains() {
+		places.Domains = append(places.Domains, document.Domain{Name: domain, Region: d.RegionOf(domain)})
+	}
+	services := &document.Services{}
+	for i := range d.Services {
+		s := &d.Services[i]
+		services.Services = append(services.Services, document.Service{Name: s.Name, Prefix: "/" + string(s.Name) + "/", Once: s.Once})
+	}
+	workspaces := &document.Workspaces{}
+	for _, w := range d.workspaces() {
+		workspaces.Workspaces = append(workspaces.Workspaces, document.Workspace{
+			Name: w.Name, Rate: w.Rate, Burst: w.Burst,
+			Keys: []document.Key{{ID: ident.KeyID(w.Name), Hash: hash(secret(w.Name))}},
+		})
+	}
+	return map[document.Section]document.Part{
+		document.PlacesSection: places, document.ServicesSection: services, document.WorkspacesSection: workspaces,
+		document.DrainsSection: &document.Drains{}, document.ShiftsSection: &document.Shifts{},
+		document.OwnersSection: &document.Owners{
+			Operators: []document.Operator{{Name: Operator, Hash: hash(Credential), Sections: document.Sections}},
+			Monitors:  []document.Monitor{{Name: "monitor", Hash: hash(Credential)}},
+		},
+	}
+}
+
+func (d *Shape) workspaces() []caller.Workspace {
+	mix := make(map[ident.Service]float64)
+	for i := range d.Services {
+		mix[d.Services[i].Name] = d.Services[i].Capacity() / d.Capacity()
+	}
+	var list []caller.Workspace
+	for i, w := range d.Workspaces {
+		rate := max(1, float64(int(d.Capacity()*entitledPart*w.Part)))
+		list = append(list, caller.Workspace{
+			Name: w.Name, Key: Key(w.Name), Rate: ident.RequestRate(rate), Burst: max(5, float64(int(rate*burstSeconds))),
+			Offered: offeredPart, Mix: mix,
+			Sources: []netip.Addr{netip.AddrFrom4([4]byte{127, 0, byte(10 + i%len(d.Regions)), byte(1 + i)})},
+		})
+	}
+	return list
+}
+
+// Upstream returns the settings of one process with all endpoints, on ports from port on.
+func (d *Shape) Upstream(admin string, entries []string, port int) *upstream.Settings {
+	s := upstream.Defaults()
+	s.Admin = admin
+	s.Entries = entries
+	domains := d.Domains()
+	n := 0
+	for i := range d.Services {
+		for k := range d.Services[i].Endpoints {
+			one := &d.Services[i]
+			s.Endpoints = append(s.Endpoints, upstream.EndpointSettings{
+				Service: one.Name, Address: ident.Address(fmt.Sprintf("127.0.0.1:%d", port+n)), Domain: domains[k%len(domains)],
+				Slots: one.Slots, Connections: d.Connections, Queue: int(one.Slots) * 4, Patience: one.Median * 4,
+				Times: "lognormal", Median: one.Median, Spread: spread, Latency: d.Near,
+				Cache: 200, Miss: 2, Slow: 1, Answer: one.Answer,
+			})
+			n++
+		}
+	}
+	return &s
+}
+
+// Caller returns the settings of the callers.
+func (d *Shape) Caller(entries, stands []string, endpoints []upstream.EndpointSettings) *caller.Settings {
+	s := caller.Defaults()
+	s.Entries = entries
+	s.Upstreams = stands
+	for i := range d.Services {
+		one := &d.Services[i]
+		service := caller.Service{
+			Name: one.Name, Prefix: "/" + string(one.Name) + "/", Once: one.Once, Body: one.Body, Answer: one.Answer,
+			Uploads: one.Uploads, Upload: one.Upload,
+		}
+		if one.Once {
+			service.Repeat = 0.02
+		}
+		for _, e := range endpoints {
+			if e.Service == one.Name {
+				service.Direct = append(service.Direct, string(e.Address))
+			}
+		}
+		s.Services = append(s.Services, service)
+	}
+	s.Workspaces = d.workspaces()
+	return &s
+}
+
+// Encode writes settings as TOML.
+func Encode(value any) ([]byte, error) {
+	var b bytes.Buffer
+	enc := toml.NewEncoder(&b)
+	enc.Indent = ""
+	if err := enc.Encode(value); err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "write settings", "")
+	}
+	return b.Bytes(), nil
+}
--- /dev/null
+++ b/load/experiment/watch.go
@@ -0,0 +1,122 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/load/relay"
+	"cuminfall.example/load/report"
+	"cuminfall.example/load/upstream"
+)
+
+// watch is what was seen of the stand-ins and links while the traffic ran.
+type watch struct {
+	headroom float64 // least part of an endpoint's slots that was free on average over five seconds
+	tightest ident.Address
+	link     float64 // most of a link's rate that was in use on average over a second
+	seen     bool    // headroom was measured
+	linked   bool    // a link with a rate was measured
+}
+
+// watchEvery is the time over which the use of links is averaged.
+const watchEvery = time.Second
+
+// useWindow is the number of those times over which the use of slots is averaged. Within
+// one second an endpoint of three slots is full by chance alone at 60% of capacity.
+const useWindow = 5
+
+// observe measures headroom and links each second of the measurement.
+func (r *run) observe(ctx context.Context, stands report.Stands) {
+	r.watch.headroom = 1
+	if clock.Sleep(ctx, r.clock, r.set.Call.Warmup) != nil {
+		return
+	}
+	var states []state
+	for {
+		at := r.clock.Now()
+		if list, err := stands.Endpoints(ctx); err == nil {
+			states = append(states, state{at: at, stands: list, links: r.links(ctx)})
+			r.watch.add(states)
+			states = states[max(0, len(states)-useWindow):]
+		}
+		if clock.Sleep(ctx, r.clock, watchEvery) != nil {
+			return
+		}
+	}
+}
+
+// state is what the stand-ins and links said at one moment.
+type state struct {
+	at     time.Time
+	stands []upstream.Status
+	links  []relay.Status
+}
+
+// add takes the newest state into account; the states before it are the last of the window.
+func (w *watch) add(states []state) {
+	last := len(states) - 1
+	if last >= useWindow {
+		w.use(states[0].stands, states[last].stands, states[last].at.Sub(states[0].at))
+	}
+	if last >= 1 {
+		w.carry(states[last-1].links, states[last].links, states[last].at.Sub(states[last-1].at))
+	}
+}
+
+// use notes the headroom between two states; endpoints that were down or restarted are left out.
+func (w *watch) use(before, after []upstream.Status, span time.Duration) {
+	known := make(map[ident.Address]*upstream.Status, len(before))
+	for i := range before {
+		known[before[i].Address] = &before[i]
+	}
+	for i := range after {
+		a := &after[i]
+		b := known[a.Address]
+		if b == nil || !a.Up || a.Incarnation != b.Incarnation {
+			continue
+		}
+		used := float64(a.Counts.Used-b.Counts.Used) / (float64(span) * float64(a.Slots))
+		w.seen = true
+		if free := max(0, 1-used); free < w.headroom {
+			w.headroom, w.tightest = free, a.Address
+		}
+	}
+}
+
+// carry notes the use of links with a rate between two states.
+func (w *watch) carry(before, after []relay.Status, span time.Duration) {
+	for i := range min(len(before), len(after)) {
+		a, b := &after[i], &before[i]
+		if a.Name != b.Name || a.State.Rate <= 0 {
+			continue
+		}
+		w.linked = true
+		most := max(a.Forward-b.Forward, a.Back-b.Back)
+		w.link = max(w.link, float64(most)/(a.State.Rate.BytesPerSecond()*span.Seconds()))
+	}
+}
+
+// links returns the state of all links; relays that do not answer are left out.
+func (r *run) links(ctx context.Context) []relay.Status {
+	var all []relay.Status
+	for _, address := range r.set.Relays {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/links", nil)
+		if err != nil {
+			continue
+		}
+		response, err := r.client.Do(request)
+		if err != nil {
+			continue
+		}
+		var list []relay.Status
+		if json.NewDecoder(response.Body).Decode(&list) == nil {
+			all = append(all, list...)
+		}
+		response.Body.Close()
+	}
+	return all
+}
--- a/load/main.go
+++ b/load/main.go
@@ -6,6 +6,9 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/load/caller"
 	"cuminfall.example/load/command"
+	"cuminfall.example/load/deployment"
+	"cuminfall.example/load/direct"
+	"cuminfall.example/load/experiment"
 	"cuminfall.example/load/relay"
 	"cuminfall.example/load/upstream"
 )
@@ -15,6 +18,9 @@
 	os.Exit(command.Dispatch(console, os.Args[1:], []command.Command{
 		upstream.Command(),
 		caller.Command(),
+		direct.Command(),
+		experiment.Command(),
+		deployment.Command(),
 		relay.Command(),
 	}))
 }
--- a/load/report/sample.go
+++ b/load/report/sample.go
@@ -37,6 +37,7 @@
 	Peer      string          `json:"peer"` // VM or endpoint of the last attempt
 	Repeat    bool            `json:"repeat,omitempty"`
 	Message   string          `json:"message,omitempty"`
+	Path      string          `json:"path,omitempty"` // where paths alternate within a run
 }
 
 // Entitlement is what a workspace may use over the whole fleet.
--- a/load/upstream/admin.go
+++ b/load/upstream/admin.go
@@ -53,6 +53,9 @@
 	mux.HandleFunc("POST /v1/kill", func(w http.ResponseWriter, r *http.Request) {
 		p.each(w, r, func(e *Endpoint) error { e.Kill(); return nil })
 	})
+	mux.HandleFunc("POST /v1/cool", func(w http.ResponseWriter, r *http.Request) {
+		p.each(w, r, func(e *Endpoint) error { e.Cool(); return nil })
+	})
 	mux.HandleFunc("POST /v1/start", func(w http.ResponseWriter, r *http.Request) {
 		p.each(w, r, func(e *Endpoint) error {
 			if e.Status().Up {
--- a/load/upstream/endpoint.go
+++ b/load/upstream/endpoint.go
@@ -27,6 +27,9 @@
 	Most               int    `json:"most"`  // requests at the same time, waiting ones included
 	MostConnections    int    `json:"links"` // connections at the same time
 	RefusedConnections uint64 `json:"refused"`
+
+	// Used is the time that slots were in use or waited for, summed over requests.
+	Used time.Duration `json:"used"`
 }
 
 // Status describes an endpoint at one moment.
@@ -72,7 +75,9 @@
 	waiting     *exchange
 	report      Reporting
 	loads       []loadSample
-	served      int // runs of this incarnation
+	used        int       // requests that hold a slot or wait for one, since usedFrom
+	usedFrom    time.Time // when Counts.Used was brought up to date
+	served      int       // runs of this incarnation
 	counts      Counts
 }
 
@@ -158,6 +163,7 @@
 func (e *Endpoint) Status() Status {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.account(e.clock.Now())
 	return Status{
 		Service: e.set.Service, Address: e.set.Address, Domain: e.set.Domain, Incarnation: e.incarnation,
 		Slots: e.set.Slots, Connections: e.set.Connections, Running: e.running, Waiting: len(e.queue),
@@ -166,6 +172,22 @@
 	}
 }
 
+// Cool makes the cache cold again.
+func (e *Endpoint) Cool() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.served = 0
+}
+
+// account brings Counts.Used up to date. The caller holds the mutex.
+func (e *Endpoint) account(now time.Time) {
+	if e.used > 0 {
+		e.counts.Used += time.Duration(e.used) * now.Sub(e.usedFrom)
+	}
+	e.used = e.running + len(e.queue)
+	e.usedFrom = now
+}
+
 // SetFault replaces the present fault.
 func (e *Endpoint) SetFault(f Fault) {
 	e.mu.Lock()
--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -199,6 +199,7 @@
 // sample notes the load, at most once in 5 ms to bound memory. The caller holds the mutex.
 func (e *Endpoint) sample() {
 	now := e.clock.Now()
+	e.account(now)
 	if n := len(e.loads); n > 0 && now.Sub(e.loads[n-1].at) < 5*time.Millisecond {
 		return
 	}
