--- a/control/consensus/leader.go
+++ b/control/consensus/leader.go
@@ -258,12 +258,17 @@
 	if r.Ok {
 		p.match = max(p.match, r.Matched)
 		p.next = max(p.next, p.match+1)
-		p.probing = false
+		if p.probing {
+			// The peer answers again; appends sent before may still wait for their time-out.
+			p.probing, p.inflight = false, 0
+		}
 		n.advanceCommit()
 		n.promote(p)
-	} else if e.Request.PrevIndex > p.match {
+	} else if e.Request.PrevIndex > p.match || len(e.Request.Entries) > 0 {
+		// An append that overtook the one before it is refused, and has to be sent again even if the
+		// peer has the earlier one by now.
 		p.next = max(p.match+1, min(p.next, e.Request.PrevIndex, r.Matched+1))
-		p.probing = true
+		p.probing, p.inflight = true, 0
 	}
 	if m := findID(n.members(), p.id); m != nil && n.role == Leader {
 		n.send(m, p, false)
