--- /dev/null
+++ b/control/ledger/main_test.go
@@ -0,0 +1,18 @@
+package ledger
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes rapid's seed, so that every run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/control/lender/count.go
+++ b/control/lender/count.go
@@ -19,8 +19,9 @@
 	if !ok {
 		return
 	}
-	targets := p.targets(total.Count, p.weights(id, nil, held), func(i int) uint32 { return p.in.Holders[i].Current[id].Share.Count })
-	p.emitCounts(id, total, targets)
+	now := p.amounts(id)
+	free, open := p.unreported(total, now, nil)
+	p.emitCounts(id, total, p.targets(free.Count, p.weights(id, open, held), now, open))
 }
 
 // connections splits the connections of an upstream evenly.
@@ -49,19 +50,41 @@
 	p.emit(id, total, wish)
 }
 
-// targets divides a count by weight above a floor, and keeps what a holder has where the difference is small.
-func (p *planner) targets(total uint32, weights []float64, now func(int) uint32) []uint32 {
-	n := len(p.in.Holders)
-	if n == 0 {
-		return nil
+// targets divides a count among the open holders by weight above a floor, and keeps
+// what a holder has where the difference is small. The others keep all that they have.
+func (p *planner) targets(total uint32, weights []float64, now []ledger.Amount, open []bool) []uint32 {
+	kept := make([]uint32, len(now))
+	var ideal []float64
+	var at []int // positions of the open holders
+	for i := range now {
+		kept[i] = now[i].Count
+		if open[i] {
+			at = append(at, i)
+			ideal = append(ideal, weights[i])
+		}
+	}
+	if len(at) == 0 {
+		return kept
+	}
+	ideal = quotas(float64(total), ideal)
+	have := make([]uint32, len(at))
+	for k, i := range at {
+		have[k] = now[i].Count
 	}
-	ideal := quotas(float64(total), weights)
+	for k, n := range settled(total, ideal, have) {
+		kept[at[k]] = n
+	}
+	return kept
+}
+
+// settled rounds the ideal parts to whole numbers with the given sum, near to what is held.
+func settled(total uint32, ideal []float64, held []uint32) []uint32 {
 	parts := largestRemainder(total, ideal, 0)
-	kept := make([]uint32, n)
+	kept := make([]uint32, len(ideal))
 	sum := uint32(0)
 	for i := range parts {
 		kept[i] = parts[i]
-		if have := now(i); math.Abs(ideal[i]-float64(have)) < math.Max(1, hysteresis*float64(have)) && have > 0 {
+		if have := held[i]; math.Abs(ideal[i]-float64(have)) < math.Max(1, hysteresis*float64(have)) && have > 0 {
 			kept[i] = have
 		}
 		sum += kept[i]
--- a/control/lender/flow.go
+++ b/control/lender/flow.go
@@ -8,28 +8,69 @@
 )
 
 // flow plans a rate and its burst for the marked holders; nil marks all.
+// Holders that have not reported to this leader keep what they have, and the
+// others divide the rest.
 func (p *planner) flow(id ident.Limit, marks []bool) {
 	total, ok := p.in.Total(id)
 	if !ok {
 		return
 	}
-	weights := p.weights(id, marks, func(a ledger.Amount) float64 { return a.Rate })
-	ideal := spread(total.Rate, weights, marks)
+	now := p.amounts(id)
+	free, open := p.unreported(total, now, marks)
+	weights := p.weights(id, open, func(a ledger.Amount) float64 { return a.Rate })
+	ideal := spread(free.Rate, weights, open)
 	wish := make([]ledger.Amount, len(ideal))
-	for i, rate := range steady(total.Rate, ideal, p.rates(id)) {
-		wish[i].Rate = rate
+	bursts(free.Burst, ideal, wish, now)
+	for i, rate := range steady(free.Rate, ideal, now) {
+		if marks == nil || marks[i] {
+			wish[i].Rate = rate
+		}
+		if !open[i] && (marks == nil || marks[i]) {
+			wish[i] = now[i]
+		}
 	}
-	bursts(total.Burst, ideal, wish, p.in.Holders, id)
 	p.emit(id, total, wish)
 }
 
-// weights returns the demand of each holder; one that has not reported weighs as much as it has.
+// amounts returns the shares of a limit by holder.
+func (p *planner) amounts(id ident.Limit) []ledger.Amount {
+	now := make([]ledger.Amount, len(p.in.Holders))
+	for i := range p.in.Holders {
+		now[i] = p.in.Holders[i].Current[id].Share
+	}
+	return now
+}
+
+// unreported returns what is left of a total beside the shares of holders that have
+// not reported, and marks the others. Where those shares exceed the total, nobody is left out.
+func (p *planner) unreported(total ledger.Amount, now []ledger.Amount, marks []bool) (ledger.Amount, []bool) {
+	open := make([]bool, len(now))
+	var fixed ledger.Amount
+	for i := range now {
+		switch {
+		case marks != nil && !marks[i]:
+		case p.in.Holders[i].Known:
+			open[i] = true
+		default:
+			fixed = fixed.Add(now[i])
+		}
+	}
+	if fixed.Within(total) {
+		return ledger.Amount{Rate: total.Rate - fixed.Rate, Burst: total.Burst - fixed.Burst, Count: total.Count - fixed.Count}, open
+	}
+	for i := range open {
+		open[i] = marks == nil || marks[i]
+	}
+	return total, open
+}
+
+// weights returns the demand of each marked holder; one that has not reported weighs as much as it has.
 func (p *planner) weights(id ident.Limit, marks []bool, held func(ledger.Amount) float64) []float64 {
 	weights := make([]float64, len(p.in.Holders))
 	for i := range p.in.Holders {
 		h := &p.in.Holders[i]
 		switch {
-		case marks != nil && !marks[i]:
+		case !marks[i]:
 		case h.Known:
 			weights[i] = h.Demands[id].weight()
 		default:
@@ -39,20 +80,12 @@
 	return weights
 }
 
-func (p *planner) rates(id ident.Limit) []float64 {
-	now := make([]float64, len(p.in.Holders))
-	for i := range p.in.Holders {
-		now[i] = p.in.Holders[i].Current[id].Share.Rate
-	}
-	return now
-}
-
 // spread divides total: a floor for each marked holder, the rest by weight.
 func spread(total float64, weights []float64, marks []bool) []float64 {
 	shares := make([]float64, len(weights))
 	n, sum := 0, 0.0
 	for i, w := range weights {
-		if marks == nil || marks[i] {
+		if marks[i] {
 			n++
 			sum += w
 		}
@@ -66,7 +99,7 @@
 	}
 	rest := total - floor*float64(n)
 	for i, w := range weights {
-		if marks != nil && !marks[i] {
+		if !marks[i] {
 			continue
 		}
 		shares[i] = floor
@@ -80,14 +113,14 @@
 
 // steady keeps shares that are within the hysteresis of the ideal, as long as
 // that neither exceeds the total nor leaves much of it unused.
-func steady(total float64, ideal, now []float64) []float64 {
+func steady(total float64, ideal []float64, now []ledger.Amount) []float64 {
 	const unused = 0.02 // an idle part of the total that refuses requests within the rate
 	kept := make([]float64, len(ideal))
 	sum := 0.0
 	for i, want := range ideal {
 		kept[i] = want
-		if math.Abs(want-now[i]) < hysteresis*now[i] {
-			kept[i] = now[i]
+		if math.Abs(want-now[i].Rate) < hysteresis*now[i].Rate {
+			kept[i] = now[i].Rate
 		}
 		sum += kept[i]
 	}
@@ -99,13 +132,11 @@
 
 // bursts divides the burst in whole tokens: one for each holder as far as they
 // last, then by rate. A bucket of less than one token could never admit a request.
-func bursts(total float64, rates []float64, wish []ledger.Amount, holders []Holder, id ident.Limit) {
-	eligible := make([]float64, len(rates))
-	copy(eligible, rates)
-	parts := largestRemainder(uint32(math.Min(total, math.MaxUint32)), eligible, 1)
+func bursts(total float64, rates []float64, wish, held []ledger.Amount) {
+	parts := largestRemainder(uint32(math.Min(total, math.MaxUint32)), rates, 1)
 	sum := 0.0
 	for i := range parts {
-		now := holders[i].Current[id].Share.Burst
+		now := held[i].Burst
 		wish[i].Burst = float64(parts[i])
 		if now >= 1 && math.Abs(wish[i].Burst-now) < hysteresis*now {
 			wish[i].Burst = now
--- a/control/lender/plan.go
+++ b/control/lender/plan.go
@@ -46,6 +46,7 @@
 type Input struct {
 	Document  *document.Document
 	Upstreams []*rpc.Upstream
+	Verdicts  []*rpc.Verdict
 	LogTime   time.Duration
 	Holders   []Holder                      // live ones, in a fixed order
 	Others    map[ident.Limit]ledger.Amount // ceilings of holders that are not live, by limit
@@ -64,11 +65,26 @@
 	in      Input
 	regions []ident.Region // by holder
 	changes []Change
+	closed  map[place]bool // drained or with a down verdict
+}
+
+// place is the target of a drain or verdict.
+type place struct {
+	kind document.Kind
+	name string
 }
 
 // Plan returns the changes of shares, lowerings first.
 func Plan(in Input) []Change {
-	p := &planner{in: in}
+	p := &planner{in: in, closed: make(map[place]bool)}
+	for _, d := range in.Document.Drains.Drains {
+		p.closed[place{d.Kind, d.Target}] = true
+	}
+	for _, v := range in.Verdicts {
+		if v.GetDown() {
+			p.closed[place{document.Kind(v.GetKind()), v.GetTarget()}] = true
+		}
+	}
 	for i := range in.Holders {
 		p.regions = append(p.regions, in.Document.Places.RegionOf(in.Holders[i].Domain))
 	}
--- a/control/lender/slots.go
+++ b/control/lender/slots.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminfall.example/control/ledger"
+	"cuminfall.example/fleet/document"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/limit"
 	"cuminfall.example/fleet/rpc"
@@ -42,6 +43,9 @@
 			id: limit.OfSlots(ident.Address(u.GetAddress())), domain: domain,
 			region: p.in.Document.Places.RegionOf(domain), total: u.GetSlots(), slots: ramped(u, p.in.LogTime),
 		}
+		if p.shut(u, e) {
+			e.slots = 0
+		}
 		e.free = e.slots
 		byService[name] = append(byService[name], e)
 	}
@@ -51,6 +55,13 @@
 	}
 }
 
+// shut reports whether an endpoint gets no new work; its slots would count
+// towards what holders have, and leave them short of usable ones.
+func (p *planner) shut(u *rpc.Upstream, e *endpoint) bool {
+	return p.closed[place{document.EndpointKind, u.GetAddress()}] ||
+		p.closed[place{document.DomainKind, string(e.domain)}] || p.closed[place{document.RegionKind, string(e.region)}]
+}
+
 // ramped returns the slots to lend of an upstream at a log time.
 func ramped(u *rpc.Upstream, at time.Duration) uint32 {
 	if u.GetLeaving() {
@@ -67,13 +78,14 @@
 	for _, e := range endpoints {
 		total += e.slots
 	}
-	targets := p.targets(total, p.serviceWeights(name, endpoints), func(i int) uint32 {
-		sum := uint32(0)
+	now := make([]ledger.Amount, len(p.in.Holders))
+	for i := range now {
 		for _, e := range endpoints {
-			sum += p.in.Holders[i].Current[e.id].Share.Count
+			now[i].Count += min(e.slots, p.in.Holders[i].Current[e.id].Share.Count)
 		}
-		return sum
-	})
+	}
+	free, open := p.unreported(ledger.Amount{Count: total}, now, nil)
+	targets := p.targets(free.Count, p.serviceWeights(name, endpoints), now, open)
 	wish := p.keep(endpoints, targets)
 	p.fill(endpoints, targets, wish)
 	for j, e := range endpoints {
--- a/control/server/operations.go
+++ b/control/server/operations.go
@@ -13,9 +13,15 @@
 
 // Apply implements rpc.Operations.
 func (s *Server) Apply(ctx context.Context, r *rpc.ApplyRequest) (*rpc.ApplyReply, error) {
+	hash := ledger.Hash(r.GetCredential())
+	if err := s.known("apply change", r.GetOperator(), hash); err != nil {
+		if f := fault.Of(err); f.Code == fault.Credential {
+			return &rpc.ApplyReply{State: rpc.ApplyState_APPLY_STATE_REFUSED, Reason: f.Message, Code: string(f.Code)}, nil
+		}
+		return nil, fault.Twirp(err)
+	}
 	result, err := s.propose(ctx, "apply change", ledger.Change{Change: &wire.Change{
-		Section: r.GetSection(), Base: r.GetBase(), Id: r.GetId(), Operator: r.GetOperator(),
-		Hash: ledger.Hash(r.GetCredential()), Text: r.GetText(),
+		Section: r.GetSection(), Base: r.GetBase(), Id: r.GetId(), Operator: r.GetOperator(), Hash: hash, Text: r.GetText(),
 	}})
 	if err != nil {
 		return nil, fault.Twirp(err)
@@ -31,6 +37,11 @@
 	return reply, nil
 }
 
+// known checks an operator's credential.
+func (s *Server) known(step, operator, hash string) error {
+	return s.check(step, func() error { _, err := s.ledger.Operator(ident.Operator(operator), hash); return err })
+}
+
 // Show implements rpc.Operations.
 func (s *Server) Show(_ context.Context, r *rpc.ShowRequest) (*rpc.ShowReply, error) {
 	reply := new(rpc.ShowReply)
@@ -91,8 +102,12 @@
 	if !known {
 		return nil, fault.Twirp(fault.New(fault.NotFound, "remove member", r.GetName(), "no member of that name"))
 	}
+	hash := ledger.Hash(r.GetCredential())
+	if err := s.known("remove member", r.GetOperator(), hash); err != nil {
+		return nil, fault.Twirp(err)
+	}
 	_, err := s.propose(ctx, "remove member", ledger.Remove{Remove: &wire.Remove{
-		Name: r.GetName(), Operator: r.GetOperator(), Hash: ledger.Hash(r.GetCredential()), Id: r.GetId(),
+		Name: r.GetName(), Operator: r.GetOperator(), Hash: hash, Id: r.GetId(),
 	}})
 	if err != nil {
 		return nil, fault.Twirp(err)
--- a/control/server/plan.go
+++ b/control/server/plan.go
@@ -79,10 +79,11 @@
 func (s *Server) watch(now time.Time) *wire.Suspect {
 	list := new(wire.Suspect)
 	for _, u := range s.ledger.Upstreams() {
-		quiet := now.Sub(s.soft.lastRenewal(u))
+		last, heard := s.soft.lastRenewal(u)
+		quiet := now.Sub(last)
 		item := &wire.Suspect_Item{
 			Address: u.GetAddress(), Incarnation: u.GetIncarnation(),
-			Suspected: quiet >= s.timings.Suspect, Remove: quiet >= s.timings.Offline,
+			Suspected: quiet >= s.timings.Suspect || u.GetSuspected() && !heard, Remove: quiet >= s.timings.Offline,
 		}
 		if item.GetRemove() || item.GetSuspected() != u.GetSuspected() {
 			list.Items = append(list.Items, item)
@@ -95,7 +96,7 @@
 func (s *Server) move(now time.Time) *wire.Lend {
 	lend := new(wire.Lend)
 	in := lender.Input{
-		Document: s.ledger.Document(), Upstreams: s.ledger.Upstreams(), LogTime: s.soft.extrapolate(now, s.ledger.At()),
+		Document: s.ledger.Document(), Upstreams: s.ledger.Upstreams(), Verdicts: s.ledger.Verdicts(), LogTime: s.soft.extrapolate(now, s.ledger.At()),
 		Others: make(map[ident.Limit]ledger.Amount), Total: s.ledger.Total,
 	}
 	s.soft.prune(now, s.timings.lapse(), s.ledger)
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -90,12 +90,15 @@
 	}
 }
 
+// bodyMax bounds a request; the largest section lists 200,000 client blocks.
+const bodyMax = 16 << 20
+
 // Register adds the twirp services to mux.
 func (s *Server) Register(mux *http.ServeMux) {
 	session := rpc.NewSessionServer(s)
 	operations := rpc.NewOperationsServer(s)
-	mux.Handle(session.PathPrefix(), session)
-	mux.Handle(operations.PathPrefix(), operations)
+	mux.Handle(session.PathPrefix(), http.MaxBytesHandler(session, bodyMax))
+	mux.Handle(operations.PathPrefix(), http.MaxBytesHandler(operations, bodyMax))
 }
 
 var (
@@ -149,7 +152,11 @@
 	defer cancel()
 	result, err := s.replica.Propose(ctx, data)
 	if err != nil {
-		return nil, fault.Wrap(err, fault.Unreachable, step, "")
+		f := fault.Of(err)
+		if f.Code == fault.Deadline {
+			f = &fault.Error{Code: fault.Unreachable, Step: step, Peer: f.Peer, Message: "not committed in time", Run: f.Run}
+		}
+		return nil, f
 	}
 	if f, ok := result.(*fault.Error); ok {
 		s.refused(f)
@@ -158,6 +165,16 @@
 	return result, s.still(term, step)
 }
 
+// check runs a test of the committed state before a proposal, so that bad
+// credentials leave nothing in the log; the ledger tests again.
+func (s *Server) check(step string, f func() error) error {
+	err := s.read(step, f)
+	if f := fault.Of(err); f != nil && f.Code == fault.Credential {
+		s.refused(f)
+	}
+	return err
+}
+
 // refused logs a refusal once.
 func (s *Server) refused(f *fault.Error) {
 	s.meters.refusals.Inc(1)
--- a/control/server/session.go
+++ b/control/server/session.go
@@ -150,7 +150,11 @@
 
 // Judge implements rpc.Session.
 func (s *Server) Judge(ctx context.Context, r *rpc.JudgeRequest) (*rpc.JudgeReply, error) {
-	index, err := s.propose(ctx, "judge", ledger.Judge{Judge: &wire.Judge{Verdict: r.GetVerdict(), Hash: ledger.Hash(r.GetCredential())}})
+	hash := ledger.Hash(r.GetCredential())
+	if err := s.check("judge", func() error { _, err := s.ledger.Monitor(hash); return err }); err != nil {
+		return nil, fault.Twirp(err)
+	}
+	index, err := s.propose(ctx, "judge", ledger.Judge{Judge: &wire.Judge{Verdict: r.GetVerdict(), Hash: hash}})
 	if err != nil {
 		return nil, fault.Twirp(err)
 	}
--- a/control/server/soft.go
+++ b/control/server/soft.go
@@ -121,12 +121,12 @@
 	return s.since
 }
 
-// lastRenewal returns the latest sign of life of an upstream, or the begin of the term.
-func (s *soft) lastRenewal(u *rpc.Upstream) time.Time {
+// lastRenewal returns the latest sign of life of an upstream, or the begin of the term and false.
+func (s *soft) lastRenewal(u *rpc.Upstream) (time.Time, bool) {
 	if r, ok := s.renewals[ident.Address(u.GetAddress())]; ok && uint64(r.incarnation) == u.GetIncarnation() {
-		return r.at
+		return r.at, true
 	}
-	return s.since
+	return s.since, false
 }
 
 // loads returns the loads that upstreams reported within the given time.
