router: check all courses with random events

A property test drives the reducer with events that come late, twice, crossed or never, and compares every effect with a model of control and upstreams.

It found three faults, which are fixed here: - A request could miss its tick when another event came just before it, because Next no longer named the time that had passed. Step now does what is due. - A cancelled or failed claim did not start the next request. - Claims stopped while their service had no free slot, so that every slot later waited for a claim. A queue now claims up to 4 requests ahead.

Candidates compare a rank computed with the view first, and the load only between equals.

--- a/entry/router/arrive.go
+++ b/entry/router/arrive.go
@@ -90,6 +90,10 @@
 		return out
 	}
 	r.unclaim(q)
+	return r.pumpAll(r.afterClaim(q, e, out))
+}
+
+func (r *Router) afterClaim(q *request, e *Claimed, out []Effect) []Effect {
 	if e.Failure != nil {
 		f := *e.Failure
 		if f.Run == "" {
@@ -101,7 +105,7 @@
 	case rpc.ClaimState_CLAIM_STATE_GRANTED:
 		q.claimed = true
 		r.enqueue(q)
-		return r.pumpAll(out)
+		return out
 	case rpc.ClaimState_CLAIM_STATE_COMPLETED:
 		return r.finish(q, false, out)
 	case rpc.ClaimState_CLAIM_STATE_PENDING:
@@ -121,7 +125,7 @@
 	if q == nil || q.state == sent {
 		return out
 	}
-	return r.finish(q, false, out)
+	return r.pumpAll(r.finish(q, false, out))
 }
 
 // sweep refuses the waiting requests that a new view no longer admits.
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"math"
+
 	"cuminfall.example/fleet/fault"
 )
 
@@ -101,19 +103,16 @@
 	}
 	s := q.service
 	var best *endpoint
-	var lowest uint64
-	n := len(s.endpoints)
-	for i := range n {
-		at := s.start + i
-		if at >= n {
-			at -= n
-		}
-		e := s.endpoints[at]
-		if to != nil && !to.to(e) || !e.free(r.now) || q.triedAt(e) {
-			continue
-		}
-		if k := e.rank(r.now); best == nil || k < lowest {
-			best, lowest = e, k
+	lowest := uint64(math.MaxUint64)
+	start := min(s.start, len(s.endpoints))
+	for _, part := range [2][]*endpoint{s.endpoints[start:], s.endpoints[:start]} {
+		for _, e := range part {
+			if !e.free() || q.attempt > 0 && q.triedAt(e) || to != nil && !to.to(e) {
+				continue
+			}
+			if k := e.rank(r.now, lowest); k < lowest {
+				best, lowest = e, k
+			}
 		}
 	}
 	return best
--- a/entry/router/endpoint.go
+++ b/entry/router/endpoint.go
@@ -34,6 +34,7 @@
 
 	region   *region
 	distance distance
+	base     uint64 // part of the rank that changes only with the view
 	slots    limit.Counter
 	conns    limit.Counter
 	failures failures
@@ -62,11 +63,11 @@
 	return min(uint64(u.Load)*tieSteps/uint64(u.Slots), tieSteps)
 }
 
-// free reports whether one more request may run at the endpoint now.
-func (e *endpoint) free(now time.Time) bool {
-	return e.slots.Free(now) > 0 &&
-		(!e.connLimited || e.conns.Free(now) > 0) &&
-		(!e.region.limited || e.region.counter.Free(now) > 0)
+// free reports whether one more request may run at the endpoint while the lease of the shares lives.
+func (e *endpoint) free() bool {
+	return e.slots.Used() < e.slots.Share() &&
+		(!e.connLimited || e.conns.Used() < e.conns.Share()) &&
+		(!e.region.limited || e.region.counter.Used() < e.region.counter.Share())
 }
 
 // take uses a slot, a connection and a place in the region. All are counted
@@ -96,18 +97,28 @@
 	loadSteps      = 1 << 10
 )
 
-// rank orders candidates, lowest first: active, few failures, near, lightly loaded share, low reported load.
-func (e *endpoint) rank(now time.Time) uint64 {
-	k := uint64(e.distance)<<distanceShift | e.reported
-	if e.suspected {
-		k |= 1 << suspectedShift
-	}
+// rank orders candidates, lowest first: active, few failures, near, lightly
+// loaded share, low reported load. The load is left out where the rest of the
+// rank is worse than that of the best candidate so far.
+func (e *endpoint) rank(now time.Time, best uint64) uint64 {
+	k := e.base
 	if e.failures.score > 0 {
 		k |= e.failures.class(now) << failuresShift
 	}
+	if k>>distanceShift > best>>distanceShift {
+		return k
+	}
 	return k | uint64(e.slots.Used())*loadSteps/uint64(e.slots.Share())<<loadShift
 }
 
+// setBase sets the part of the rank that changes only with the view.
+func (e *endpoint) setBase() {
+	e.base = uint64(e.distance)<<distanceShift | e.reported
+	if e.suspected {
+		e.base |= 1 << suspectedShift
+	}
+}
+
 // Failure scores: one failure counts 1 and halves every failureHalf or with
 // each success, so that a single failure does not send traffic far away for long.
 const (
--- a/entry/router/fleet_test.go
+++ b/entry/router/fleet_test.go
@@ -21,6 +21,9 @@
 	secret = KeyHash(sha256.Sum256([]byte("secret")))
 )
 
+// failer is the part of a test that helpers need; both testing and rapid have it.
+type failer interface{ Fatal(args ...any) }
+
 // plant is a small fleet whose control answers are built by hand.
 type plant struct {
 	doc       document.Document
@@ -81,7 +84,7 @@
 }
 
 // reply returns everything in a newer version.
-func (p *plant) reply(t testing.TB) *rpc.SyncReply {
+func (p *plant) reply(t failer) *rpc.SyncReply {
 	p.versions.Config++
 	p.versions.Registry++
 	p.versions.Members++
@@ -133,7 +136,7 @@
 }
 
 // start returns a router of the plant one second after its first exchange, so that buckets hold tokens.
-func (p *plant) start(t testing.TB) *Router {
+func (p *plant) start(t failer) *Router {
 	r := New(Config{VM: "v0", Domain: "a1", Address: "127.0.0.1:7000"})
 	r.Step(&Synced{At: epoch.Add(-time.Second), Sent: epoch.Add(-time.Second), Reply: p.reply(t)}, nil)
 	r.Step(&Synced{At: epoch, Sent: epoch, Reply: p.same()}, nil)
--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -160,7 +160,7 @@
 			}
 		}
 		if p == noSlot {
-			return out
+			return r.claimAhead(s, out)
 		}
 		if u.count() == 0 {
 			continue // deactivate moved the turn on
@@ -190,6 +190,24 @@
 	return r.start(u.waiting.head, out)
 }
 
+// mostAhead bounds the claims that a queue holds while it waits for slots. A
+// few hide the time of a claim; more would only be left pending if this VM died.
+const mostAhead = 4
+
+// claimAhead claims for requests whose service has no free slot now.
+func (r *Router) claimAhead(s *service, out []Effect) []Effect {
+	if !s.Once {
+		return out
+	}
+	for i := len(s.active) - 1; i >= 0; i-- {
+		u := s.active[i]
+		for p := started; p == started && u.ahead.count < mostAhead && u.waiting.head != nil; {
+			p, out = r.start(u.waiting.head, out)
+		}
+	}
+	return out
+}
+
 // pumpAll ends what is overdue and serves all queues, each time beginning with another service.
 func (r *Router) pumpAll(out []Effect) []Effect {
 	if len(r.timers.heap) == 0 {
@@ -201,16 +219,17 @@
 	for q := r.timers.first(); q != nil && !r.now.Before(q.deadline); q = r.timers.first() {
 		out = r.refuse(q, r.expired(q), out)
 	}
-	services := r.view.serviceList
-	if r.waiting == 0 || len(services) == 0 {
+	if r.waiting == 0 {
 		return out
 	}
+	services := r.view.serviceList
 	r.turn++
 	for i := range services {
 		if s := services[(r.turn+i)%len(services)]; s.waiting > 0 {
 			out = r.pump(s, out)
 		}
 	}
+	r.schedule()
 	return r.askIfShort(out)
 }
 
@@ -272,15 +291,17 @@
 	if first == nil {
 		return time.Time{}, false
 	}
-	due := first.deadline
-	if r.waiting > 0 {
-		due = earlier(due, r.view.proven.Add(r.config.Freshness+1))
-		due = earlier(due, r.nextToken())
+	if r.waiting == 0 {
+		return first.deadline, true
 	}
-	if !due.After(r.now) {
-		due = r.now.Add(time.Millisecond)
+	return earlier(first.deadline, r.due), true
+}
+
+// schedule works out when waiting requests can go on.
+func (r *Router) schedule() {
+	if r.waiting > 0 {
+		r.due = earlier(r.view.proven.Add(r.config.Freshness+1), r.nextToken())
 	}
-	return due, true
 }
 
 // nextToken returns when the first queue that lacks only a token gets one.
@@ -291,7 +312,7 @@
 			continue
 		}
 		need := 1.0
-		if float64(w.claiming) < w.bucket.Tokens(r.now) {
+		if w.bucket.Tokens(r.now) >= 1 {
 			need += float64(w.claiming)
 		}
 		if delay, ok := w.bucket.Ready(r.now, need); ok && delay > 0 {
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -40,6 +40,7 @@
 	timers   deadlines
 	turn     int // rotates the service that is served first
 	waiting  int
+	due      time.Time // when a waiting request gets a token or the view becomes stale
 
 	budget   float64   // retries that may still be made
 	asked    time.Time // of the last Ask
@@ -74,6 +75,16 @@
 // until the next Step for its request; a Done must be read before the caller
 // lets another goroutine call Step, as its record is reused.
 func (r *Router) Step(event Event, out []Effect) []Effect {
+	out = r.handle(event, out)
+	// An event can arrive just before the Tick that is due; Next then no longer
+	// names it, so the work is done here.
+	if due, ok := r.Next(); ok && !r.now.Before(due) {
+		out = r.pumpAll(out)
+	}
+	return out
+}
+
+func (r *Router) handle(event Event, out []Effect) []Effect {
 	switch e := event.(type) {
 	case *Arrived:
 		r.advance(e.At)
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -452,6 +452,7 @@
 		} else if e.region == v.home {
 			e.distance = sameRegion
 		}
+		e.setBase()
 		s.endpoints = append(s.endpoints, e)
 	}
 	v.placeMembers(places, out)
