router: test refusals, routing, lookups and fairness

Table tests cover every refusal, the choice of endpoints, outcomes of attempts, shifts, transfers, demands and lookups.

The comparison of the block table with a search of all prefixes found that an IPv4 block up to 255.255.255.255 hid the first range: the address after it wrapped to 0.0.0.0.

One workspace at 10 times its rate leaves each of the other seven at least 0.95 of theirs over 60 s of simulated time.

--- a/entry/router/block.go
+++ b/entry/router/block.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"slices"
 	"sort"
@@ -71,6 +72,9 @@
 	}
 	t.start6, t.place6 = flatten(spans6)
 	starts, place4 := flatten(spans4)
+	if n := len(starts); n > 0 && starts[n-1].low > math.MaxUint32 {
+		starts, place4 = starts[:n-1], place4[:n-1] // what follows the last address
+	}
 	t.place4 = place4
 	t.start4 = make([]uint32, len(starts))
 	for i, a := range starts {
--- /dev/null
+++ b/entry/router/lookup_test.go
@@ -0,0 +1,116 @@
+package router
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/ident"
+)
+
+// Guards against lookups that name a VM which must not get callers, or a far one first.
+func TestLookupNamesUsableVMs(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(p *plant)
+		client string
+		first  ident.Region
+		count  int
+	}{
+		{"client in b", func(*plant) {}, "10.2.0.1", "b", 12},
+		{"unknown client", func(*plant) {}, "192.0.2.1", "a", 12},
+		{"leaving", func(p *plant) { p.members[0].Leaving = true }, "10.2.0.1", "b", 11},
+		{"VM down", func(p *plant) { down("vm", "v3")(p, nil) }, "10.2.0.1", "b", 11},
+		{"VM drained", func(p *plant) { drain(document.VMKind, "v3")(p, nil) }, "10.2.0.1", "b", 11},
+		{"domain drained", func(p *plant) { drain(document.DomainKind, "a1")(p, nil) }, "10.2.0.1", "b", 8},
+		{"region down", func(p *plant) { down("region", "b")(p, nil) }, "10.2.0.1", "a", 8},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := large(1)
+			p.doc.Places.Blocks = []document.Block{{Prefix: netip.MustParsePrefix("10.2.0.0/16"), Region: "b"}}
+			c.change(p)
+			r := p.start(t)
+			out := r.Lookup("read", "w0", netip.MustParseAddr(c.client), nil)
+			is.Equal(len(out), c.count)
+			is.Equal(out[0].Region, c.first)
+		})
+	}
+}
+
+// Guards against lookups that fail while control is away, and against naming a stopping VM.
+func TestLookupAnswersFromTheLastView(t *testing.T) {
+	is := is.New(t)
+	r := large(1).start(t)
+	at := epoch.Add(time.Hour)
+	r.Step(&Tick{At: at}, nil)
+	is.True(!r.Fresh(at))
+	is.Equal(len(r.Lookup("read", "w0", netip.Addr{}, nil)), 12)
+	is.Equal(len(r.Lookup("none", "w0", netip.Addr{}, nil)), 0)
+	r.Step(&Stopping{At: at}, nil)
+	is.Equal(len(r.Lookup("read", "w0", netip.Addr{}, nil)), 11)
+}
+
+// Guards against a loss of one VM that moves the callers of others.
+func TestLookupMovesOnlyCallersOfTheLostVM(t *testing.T) {
+	is := is.New(t)
+	before := large(1)
+	after := large(1)
+	after.members = after.members[1:]
+	a, b := before.start(t), after.start(t)
+	for i := range 50 {
+		w := workspaceName(i)
+		first := a.Lookup("read", w, netip.Addr{}, nil)[0].Name
+		if first != "v0" {
+			is.Equal(b.Lookup("read", w, netip.Addr{}, nil)[0].Name, first)
+		}
+	}
+}
+
+// Guards against a block table that disagrees with a search of all prefixes.
+func TestBlockTableFindsTheLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		address := func(four bool) netip.Addr {
+			// Few distinct bits make nested and adjacent blocks likely, at both ends of the space.
+			n := rapid.SampledFrom([]uint32{0, 1, 0x0a000000, 0x0affffff, 0xfffffffe, 0xffffffff}).Draw(t, "n") ^ rapid.Uint32Range(0, 7).Draw(t, "low")
+			var b [16]byte
+			binary.BigEndian.PutUint32(b[:], n)
+			binary.BigEndian.PutUint32(b[12:], n)
+			if four {
+				return netip.AddrFrom4([4]byte(b[:4]))
+			}
+			return netip.AddrFrom16(b)
+		}
+		var blocks []document.Block
+		seen := make(map[netip.Prefix]bool)
+		for i := range rapid.IntRange(0, 12).Draw(t, "blocks") {
+			a := address(rapid.Bool().Draw(t, "four"))
+			p, err := a.Prefix(rapid.IntRange(0, a.BitLen()).Draw(t, "bits"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !seen[p] {
+				blocks = append(blocks, document.Block{Prefix: p, Region: ident.Region(rune('a' + i))})
+			}
+			seen[p] = true
+		}
+		table := newBlockTable(blocks)
+		for range 20 {
+			a := address(rapid.Bool().Draw(t, "four"))
+			want, bits := ident.Region(""), -1
+			for _, b := range blocks {
+				if b.Prefix.Contains(a) && b.Prefix.Bits() > bits {
+					want, bits = b.Region, b.Prefix.Bits()
+				}
+			}
+			if got := table.region(a); got != want {
+				t.Fatalf("region of %s: %q, want %q", a, got, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/router/route_test.go
@@ -0,0 +1,226 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/limit"
+	"cuminfall.example/fleet/rpc"
+)
+
+const (
+	near   = "127.0.0.1:1" // failure domain a1, as the VM
+	beside = "127.0.0.1:2" // a2, same region
+	remote = "127.0.0.1:3" // b1, other region
+)
+
+// Guards against work at endpoints that must not get it, and against wrong preference.
+func TestChoiceOfEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(p *plant, r *Router)
+		want   ident.Address
+	}{
+		{"nearest", func(*plant, *Router) {}, near},
+		{"leaving", func(p *plant, _ *Router) { p.upstreams[0].Leaving = true }, beside},
+		{"suspected", func(p *plant, _ *Router) { p.upstreams[0].Suspected = true }, beside},
+		{"all suspected", func(p *plant, _ *Router) {
+			for _, u := range p.upstreams {
+				u.Suspected = true
+			}
+		}, near},
+		{"no slots", func(p *plant, _ *Router) { p.share(limit.OfSlots(near), 0, 0, 0) }, beside},
+		{"region used up", func(p *plant, _ *Router) {
+			p.share(limit.OfSlots(near), 0, 0, 0)
+			p.share(limit.OfSlots(beside), 0, 0, 0)
+		}, remote},
+		{"region over its capacity", func(p *plant, _ *Router) { p.doc.Places.Regions[0].Capacity = 1 }, remote},
+		{"endpoint drained", drain(document.EndpointKind, near), beside},
+		{"domain drained", drain(document.DomainKind, "a1"), beside},
+		{"region drained", drain(document.RegionKind, "a"), remote},
+		{"endpoint down", down("endpoint", near), beside},
+		{"domain down", down("domain", "a1"), beside},
+		{"region down", down("region", "a"), remote},
+		{"up again", func(p *plant, _ *Router) { p.verdicts = []*rpc.Verdict{{Kind: "domain", Target: "a1"}} }, near},
+		{"unknown domain", func(p *plant, _ *Router) { p.upstreams[0].Domain = "nowhere" }, beside},
+		{"failed", func(_ *plant, r *Router) {
+			r.view.endpoints[near].failures.add(epoch, 1)
+		}, beside},
+		{"failed long ago", func(_ *plant, r *Router) {
+			r.view.endpoints[near].failures.add(epoch.Add(-failureHalf), 1)
+		}, near},
+		{"all reports are false", func(p *plant, _ *Router) { p.upstreams[0].Load = 1000 }, near},
+		{"equal but for the report", func(p *plant, _ *Router) {
+			p.upstreams[0].Load, p.upstreams[1].Domain = 8, "a1"
+		}, beside},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlant()
+			for i, a := range []string{near, beside, remote} {
+				p.upstream("read", a, []string{"a1", "a2", "b1"}[i], 2)
+			}
+			r := p.start(t)
+			c.change(p, r)
+			r.Step(&Synced{At: epoch, Sent: epoch, Reply: p.reply(t)}, nil)
+			is.Equal(sendOf(r.Step(read(1, epoch), nil)).Endpoint, c.want)
+		})
+	}
+}
+
+func drain(kind document.Kind, target string) func(*plant, *Router) {
+	return func(p *plant, _ *Router) {
+		p.doc.Drains.Drains = []document.Drain{{Name: "d", Kind: kind, Target: target}}
+	}
+}
+
+func down(kind, target string) func(*plant, *Router) {
+	return func(p *plant, _ *Router) { p.verdicts = []*rpc.Verdict{{Kind: kind, Target: target, Down: true}} }
+}
+
+// Guards against a shift that moves more than its fraction, or anything beyond its cap.
+func TestShiftMovesItsFractionWithinTheCap(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		burst float64
+		want  uint64
+	}{
+		{"under the cap", 1000, 25},
+		{"at the cap", 7, 7},
+		{"no share of the cap", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlant()
+			p.upstream("read", near, "a1", 200)
+			p.upstream("read", remote, "b1", 200)
+			p.doc.Shifts.Shifts = []document.Shift{{Name: "s", Service: "read", From: "a", To: "b1", Share: 0.25, Cap: 1000}}
+			p.share(limit.OfShift("s"), c.burst, c.burst, 0)
+			r := p.start(t)
+			for i := range 100 {
+				is.True(sendOf(r.Step(read(RequestID(i), epoch), nil)) != nil)
+			}
+			is.Equal(r.Stats().Shifted, c.want)
+			is.Equal(r.Stats().Spilled, c.want)
+		})
+	}
+}
+
+// Guards against links over their rate, and against transfers that can never move.
+func TestTransferFollowsTheLinkShare(t *testing.T) {
+	is := is.New(t)
+	p := newPlant()
+	p.upstream("read", remote, "b1", 2)
+	p.doc.Places.Links = []document.Link{{From: "a", To: "b", Rate: 1}}
+	p.share(limit.OfLink("a", "b"), 1000, 500, 0)
+	r := p.start(t)
+	is.True(sendOf(r.Step(read(1, epoch), nil)).Linked)
+	is.Equal(len(r.Step(&Transfer{At: epoch, ID: 1, Bytes: 400}, nil)), 0)
+	is.Equal(*r.Step(&Transfer{At: epoch, ID: 1, Bytes: 200}, nil)[0].(*Wait), Wait{ID: 1, Delay: 100 * time.Millisecond})
+	is.Equal(len(r.Step(&Transfer{At: epoch, ID: 1, Bytes: 4000, Back: true}, nil)), 0) // not limited
+	at := epoch.Add(100 * time.Millisecond)
+	is.Equal(len(r.Step(&Transfer{At: at, ID: 1, Bytes: 200}, nil)), 0)
+	is.Equal(r.Step(&Transfer{At: at, ID: 1, Bytes: 600}, nil)[0].(*Wait).Most, ident.Bytes(500))
+}
+
+// Guards against a flooding workspace that takes slots from the others.
+func TestFloodLeavesTheOthersTheirSlots(t *testing.T) {
+	is := is.New(t)
+	p := newPlant()
+	p.doc.Workspaces.Workspaces, p.shares = nil, nil
+	for i := range 8 {
+		p.addWorkspace(i, 12, 3)
+	}
+	p.upstream("read", near, "a1", 10) // 100 requests/s at 100 ms each, for 8 x 12 of them
+	r := p.start(t)
+	sent, arrived := make(map[ident.Workspace]int), make(map[ident.Workspace]int)
+	type end struct {
+		at time.Time
+		id RequestID
+	}
+	var running []end
+	note := func(at time.Time, out []Effect) {
+		for _, e := range out {
+			if s, ok := e.(*Send); ok {
+				sent[s.Workspace]++
+				running = append(running, end{at.Add(100 * time.Millisecond), s.ID})
+			}
+		}
+	}
+	id := RequestID(0)
+	for ms := range 60_000 {
+		at := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for len(running) > 0 && !running[0].at.After(at) {
+			first := running[0]
+			running = running[1:]
+			note(at, r.Step(&Ended{At: at, ID: first.id, Outcome: Answered}, nil))
+		}
+		if ms%200 == 0 {
+			note(at, r.Step(&Synced{At: at, Sent: at, Reply: p.same()}, nil))
+		}
+		for w := range 8 {
+			every := 1000 / 12
+			if w == 0 {
+				every /= 10
+			}
+			if (ms+w*7)%every != 0 {
+				continue
+			}
+			id++
+			e := read(id, at)
+			e.Key = ident.KeyID("k" + string(rune('0'+w)))
+			arrived[workspaceName(w)]++
+			note(at, r.Step(e, nil))
+		}
+		if due, ok := r.Next(); ok && !due.After(at) {
+			note(at, r.Step(&Tick{At: at}, nil))
+		}
+	}
+	is.True(arrived["w0"] > 7000)
+	is.True(sent["w0"] <= 12*60+3)
+	for w := 1; w < 8; w++ {
+		name := workspaceName(w)
+		if float64(sent[name]) < 0.95*float64(min(arrived[name], 12*60)) {
+			t.Errorf("%s: %d of %d requests sent", name, sent[name], arrived[name])
+		}
+	}
+}
+
+// Guards against demands that do not follow what waits.
+func TestDemands(t *testing.T) {
+	is := is.New(t)
+	p := newPlant()
+	p.upstream("read", near, "a1", 1)
+	p.upstream("read", "127.0.0.1:9", "a1", 0)
+	r := p.start(t)
+	for i := range 4 {
+		r.Step(read(RequestID(i), epoch), nil)
+	}
+	got := make(map[string]rpc.Demand)
+	for _, d := range r.Demands(epoch, nil) {
+		got[d.Limit] = rpc.Demand{Wanted: d.Wanted, Waiting: d.Waiting}
+	}
+	is.Equal(got["workspace/w0"].Wanted, 7.0) // 4/s arrived, 3 wait
+	is.Equal(got["slots/"+near].Wanted, 3.0)  // 1 in use, 2 of 3 wait for it
+	is.Equal(got["slots/127.0.0.1:9"].Wanted, 1.0)
+	is.Equal(got["connections/"+near].Waiting, uint32(2))
+}
+
+// Guards against confirming a share while more than it is in use.
+func TestLoweredCountIsConfirmedOnceKept(t *testing.T) {
+	is := is.New(t)
+	p := newPlant()
+	p.upstream("read", near, "a1", 1)
+	r := p.start(t)
+	r.Step(read(1, epoch), nil)
+	is.Equal(r.Held().Allotments, p.versions.Allotments)
+	p.share(limit.OfSlots(near), 0, 0, 0)
+	r.Step(&Synced{At: epoch, Sent: epoch, Reply: p.reply(t)}, nil)
+	is.Equal(r.Held().Allotments, p.versions.Allotments-1)
+	r.Step(&Ended{At: epoch, ID: 1, Outcome: Answered}, nil)
+	is.Equal(r.Held().Allotments, p.versions.Allotments)
+}
