load: measure headroom as free slots, per endpoint and per domain

Counting waiting requests as used gave a headroom of 0 for round robin over five seconds too, so the figure told nothing apart.

--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -164,14 +164,19 @@
 // Guards against headroom that counts an endpoint as free while it is full, or that counts a restart.
 func TestWatch(t *testing.T) {
 	is := is.New(t)
-	w := watch{headroom: 1}
-	at := func(used time.Duration, incarnation ident.Incarnation) []upstream.Status {
-		return []upstream.Status{{Address: "a", Slots: 2, Up: true, Incarnation: incarnation, Counts: upstream.Counts{Used: used}}}
+	var w watch
+	at := func(a, b time.Duration, incarnation ident.Incarnation) []upstream.Status {
+		return []upstream.Status{
+			{Service: "forecast", Domain: "north-a", Address: "a", Slots: 2, Up: true, Incarnation: incarnation, Counts: upstream.Counts{Used: a}},
+			{Service: "forecast", Domain: "north-a", Address: "b", Slots: 2, Up: true, Incarnation: 1, Counts: upstream.Counts{Used: b}},
+		}
 	}
-	w.use(at(0, 1), at(5*time.Second, 1), 5*time.Second) // one of two slots on average
-	is.Equal(w.headroom, 0.5)
-	w.use(at(0, 1), at(50*time.Second, 2), 5*time.Second)
-	is.Equal(w.headroom, 0.5)
+	w.use(at(0, 0, 1), at(7500*time.Millisecond, 2500*time.Millisecond, 1), 5*time.Second)
+	is.Equal(w.endpoint, headroom{least: 0.25, where: "a", seen: true}) // 1.5 of two slots on average
+	is.Equal(w.domain, headroom{least: 0.5, where: "north-a/forecast", seen: true})
+	before := w.endpoint
+	w.use(at(0, 0, 1), at(50*time.Second, 0, 2), 5*time.Second)
+	is.Equal(w.endpoint, before)
 	link := func(n ident.Bytes) []relay.Status {
 		return []relay.Status{{Name: "l", State: relay.State{Rate: 8}, Forward: n}}
 	}
--- a/load/experiment/figures.go
+++ b/load/experiment/figures.go
@@ -15,8 +15,9 @@
 func steadyFigures(r *run) {
 	r.figure("worst served", r.report.Worst.Served, "of entitlement", "at least 0.95")
 	r.figure("refused within rate", float64(r.report.Wrongful), "requests", "0 without a fault")
-	if r.watch.seen {
-		r.figure("least headroom", r.watch.headroom, "of slots, over 5 s, at "+string(r.watch.tightest), "")
+	if r.watch.endpoint.seen {
+		r.figure("least headroom of an endpoint", r.watch.endpoint.least, "of slots, over 5 s, at "+r.watch.endpoint.where, "")
+		r.figure("least headroom of a domain", r.watch.domain.least, "of slots, over 5 s, at "+r.watch.domain.where, "")
 	}
 	r.figure("p99", float64(r.report.Total.P99)/float64(time.Millisecond), "ms", "")
 	if r.watch.linked {
--- a/load/experiment/watch.go
+++ b/load/experiment/watch.go
@@ -15,11 +15,28 @@
 
 // watch is what was seen of the stand-ins and links while the traffic ran.
 type watch struct {
-	headroom float64 // least part of an endpoint's slots that was free on average over five seconds
-	tightest ident.Address
-	link     float64 // most of a link's rate that was in use on average over a second
-	seen     bool    // headroom was measured
-	linked   bool    // a link with a rate was measured
+	endpoint headroom
+	domain   headroom // of a service's endpoints in a failure domain
+	link     float64  // most of a link's rate that was in use on average over a second
+	linked   bool     // a link with a rate was measured
+}
+
+// headroom is the least part of slots that was free on average over the window.
+type headroom struct {
+	least float64
+	where string
+	seen  bool
+}
+
+// note takes one average into account.
+func (h *headroom) note(where string, used, slots float64) {
+	if slots <= 0 {
+		return
+	}
+	if free := max(0, 1-used/slots); !h.seen || free < h.least {
+		h.least, h.where = free, where
+	}
+	h.seen = true
 }
 
 // watchEvery is the time over which the use of links is averaged.
@@ -31,7 +48,6 @@
 
 // observe measures headroom and links each second of the measurement.
 func (r *run) observe(ctx context.Context, stands report.Stands) {
-	r.watch.headroom = 1
 	if clock.Sleep(ctx, r.clock, r.set.Call.Warmup) != nil {
 		return
 	}
@@ -73,17 +89,26 @@
 	for i := range before {
 		known[before[i].Address] = &before[i]
 	}
+	type place struct {
+		domain  ident.Domain
+		service ident.Service
+	}
+	used := make(map[place]float64)
+	slots := make(map[place]float64)
 	for i := range after {
 		a := &after[i]
 		b := known[a.Address]
 		if b == nil || !a.Up || a.Incarnation != b.Incarnation {
 			continue
 		}
-		used := float64(a.Counts.Used-b.Counts.Used) / (float64(span) * float64(a.Slots))
-		w.seen = true
-		if free := max(0, 1-used); free < w.headroom {
-			w.headroom, w.tightest = free, a.Address
-		}
+		average := float64(a.Counts.Used-b.Counts.Used) / float64(span)
+		w.endpoint.note(string(a.Address), average, float64(a.Slots))
+		p := place{a.Domain, a.Service}
+		used[p] += average
+		slots[p] += float64(a.Slots)
+	}
+	for p := range used {
+		w.domain.note(string(p.domain)+"/"+string(p.service), used[p], slots[p])
 	}
 }
 
--- a/load/upstream/endpoint.go
+++ b/load/upstream/endpoint.go
@@ -28,7 +28,7 @@
 	MostConnections    int    `json:"links"` // connections at the same time
 	RefusedConnections uint64 `json:"refused"`
 
-	// Used is the time that slots were in use or waited for, summed over requests.
+	// Used is the time that slots were in use, summed over slots.
 	Used time.Duration `json:"used"`
 }
 
@@ -75,7 +75,7 @@
 	waiting     *exchange
 	report      Reporting
 	loads       []loadSample
-	used        int       // requests that hold a slot or wait for one, since usedFrom
+	used        int       // slots in use since usedFrom
 	usedFrom    time.Time // when Counts.Used was brought up to date
 	served      int       // runs of this incarnation
 	counts      Counts
@@ -184,7 +184,7 @@
 	if e.used > 0 {
 		e.counts.Used += time.Duration(e.used) * now.Sub(e.usedFrom)
 	}
-	e.used = e.running + len(e.queue)
+	e.used = e.running
 	e.usedFrom = now
 }
 
--- a/load/upstream/upstream_test.go
+++ b/load/upstream/upstream_test.go
@@ -237,6 +237,7 @@
 	is.Equal(load(Lagging, 2*time.Second), int64(0))
 	is.Equal(load(Lying, 0), int64(99))
 	is.Equal(load(Stopped, 0), int64(2))
+	is.Equal(e.Status().Counts.Used, time.Second) // one slot for a second, two for no time yet
 	e.release()
 	n, ok := e.Load()
 	is.Equal(n, int64(2)) // the last load before reports stopped
