cuminfall, ledger: show the code of a refused change and list the newest changes

Cause: the document scenario found refusals of every kind reported as invalid, and audit list with a limit showed the oldest changes. Change: the reply's code is passed on; the limit keeps the newest.

--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -174,12 +174,12 @@
 	return list
 }
 
-// Audit returns up to limit changes after the given index, oldest first; a limit of 0 means all.
+// Audit returns the newest changes after the given index, up to limit of them, oldest first; a limit of 0 means all.
 func (l *Ledger) Audit(after ident.Index, limit int) []*rpc.Change {
 	from := sort.Search(len(l.audit), func(i int) bool { return l.audit[i].GetIndex() > uint64(after) })
 	list := l.audit[from:]
 	if limit > 0 && len(list) > limit {
-		list = list[:limit]
+		list = list[len(list)-limit:]
 	}
 	return append([]*rpc.Change(nil), list...)
 }
--- a/cuminfall/section/section.go
+++ b/cuminfall/section/section.go
@@ -142,7 +142,11 @@
 	case rpc.ApplyState_APPLY_STATE_CONFLICT:
 		return nil, conflict(string(name), reply)
 	default:
-		return nil, fault.New(fault.Invalid, "apply change", string(name), "%s", reply.Reason)
+		code := fault.Code(reply.Code)
+		if code == "" {
+			code = fault.Invalid
+		}
+		return nil, fault.New(code, "apply change", string(name), "%s", reply.Reason)
 	}
 }
 
