load: add stand-in sessions

What control costs per entry VM was known only from fleets of 12, so no figure for 9,000 could be worked out. load nodes opens up to 600 sessions that sync like entry VMs against a real group, which scripts/group starts, and reports bytes, latency, CPU time, memory, disk syncs and the spread of changes.

The sessions leave out routing: a fleet of real entry processes was ruled out, because 600 of them do not fit in the agreed part of the machine.

--- /dev/null
+++ b/load/nodes/nodes_test.go
@@ -0,0 +1,160 @@
+package nodes
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/rpc"
+	"cuminfall.example/load/command"
+)
+
+// group stands in for a control group of a follower and a leader.
+type group struct {
+	rpc.Session
+	rpc.Operations
+	leader string // address; empty at the leader itself
+
+	mu       sync.Mutex
+	revision uint64
+	vms      map[string]bool
+}
+
+func (g *group) Sync(_ context.Context, r *rpc.SyncRequest) (*rpc.SyncReply, error) {
+	if g.leader != "" {
+		return nil, fault.Twirp(fault.New(fault.Leader, "sync", g.leader, "this member does not lead"))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.vms[r.GetVm()] = true
+	reply := &rpc.SyncReply{Versions: &rpc.Versions{Config: g.revision + 1}}
+	if r.GetHeld().GetConfig() != g.revision+1 {
+		reply.Config = &rpc.Config{Sections: []*rpc.Section{{Name: "drains", Revision: g.revision}}}
+	}
+	return reply, nil
+}
+
+func (g *group) Show(context.Context, *rpc.ShowRequest) (*rpc.ShowReply, error) {
+	if g.leader != "" {
+		return nil, fault.Twirp(fault.New(fault.Leader, "show", g.leader, "this member does not lead"))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &rpc.ShowReply{Sections: []*rpc.Section{{Name: "drains", Revision: g.revision}}}, nil
+}
+
+func (g *group) Apply(_ context.Context, r *rpc.ApplyRequest) (*rpc.ApplyReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.GetSection() != "drains" {
+		return &rpc.ApplyReply{State: rpc.ApplyState_APPLY_STATE_ACCEPTED}, nil
+	}
+	if r.GetBase() != g.revision {
+		return &rpc.ApplyReply{State: rpc.ApplyState_APPLY_STATE_CONFLICT, Code: string(fault.Conflict)}, nil
+	}
+	g.revision++
+	return &rpc.ApplyReply{State: rpc.ApplyState_APPLY_STATE_ACCEPTED, Revision: g.revision}, nil
+}
+
+func (g *group) serve(t *testing.T) string {
+	mux := http.NewServeMux()
+	for _, h := range []rpc.TwirpServer{rpc.NewSessionServer(g), rpc.NewOperationsServer(g)} {
+		mux.Handle(h.PathPrefix(), h)
+	}
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// TestRun guards against sessions that do not follow the leader, changes that
+// are not seen by all sessions, and bytes or exchanges that are not counted.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	leader := &group{vms: make(map[string]bool), revision: 3}
+	address := leader.serve(t)
+	follower := &group{leader: address}
+	o := &Options{
+		Control: []string{follower.serve(t), address}, Processes: []string{"self"}, Count: 20, Seconds: 0.4,
+		Period: 20 * time.Millisecond, Changes: 10, Operator: "a", Credential: "b", Regions: 1,
+	}
+	r, err := newRunner(o, clock.System{}).run(context.Background())
+	is.NoErr(err)
+	is.Equal(len(leader.vms), 20)
+	is.Equal(r.Spread.Changes, 4)
+	is.Equal(r.Spread.Missing, 0)
+	is.Equal(leader.revision, uint64(7))
+	is.True(r.Exchanges > 0)
+	is.True(r.Sent > 0 && r.Received > 0)
+	is.True(r.Parts.Config >= 20) // a session that is held up may get several changes in one reply
+	is.True(r.Processes[0].Resident > 0)
+	var out bytes.Buffer
+	is.NoErr(r.print(&out))
+	is.True(strings.Contains(out.String(), "0 not everywhere"))
+}
+
+// TestMissing guards against a change that counts as everywhere while a session lacks it.
+func TestMissing(t *testing.T) {
+	is := is.New(t)
+	at := time.Unix(1000, 0)
+	track := newTracker(2)
+	track.send(1, at)
+	track.send(2, at)
+	track.send(3, at)
+	track.drop(3)
+	track.seen(0, 2, at.Add(time.Second))
+	track.seen(0, 1, at.Add(3*time.Second))
+	s := track.spread()
+	is.Equal(s.Changes, 2)
+	is.Equal(s.Missing, 1)
+	is.Equal(s.All.Most.Round(10*time.Millisecond), 3*time.Second)
+}
+
+// TestFlags guards against runs that are out of bounds or leave loopback.
+func TestFlags(t *testing.T) {
+	for _, c := range []struct{ args, want string }{
+		{"", "--control is required"},
+		{"--control 10.0.0.1:80", "--control: got"},
+		{"--control 127.0.0.1:80 --count 601 --seconds 56", "--seconds: got \"56\""},
+		{"--control 127.0.0.1:80 --changes 1", "--operator"},
+		{"--control 127.0.0.1:80 --processes ../1", "--processes"},
+		{"--control 127.0.0.1:80 --demands 1", "--demands"},
+		{"--control 127.0.0.1:80 --count 100 --blocks 200000 --operator a", "--blocks times count"},
+	} {
+		t.Run(c.args, func(t *testing.T) {
+			is := is.New(t)
+			err := run(command.Console{Out: &bytes.Buffer{}, Err: &bytes.Buffer{}, Clock: clock.System{}}, strings.Fields(c.args))
+			is.Equal(fault.Of(err).Code, fault.Usage)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
+
+// TestUsage guards against CPU time and memory read from the wrong fields.
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(os.Mkdir(filepath.Join(folder, "7"), 0o755))
+	for name, text := range map[string]string{
+		"stat":   "7 (a b) c) S 1 7 7 0 -1 4194560 1 2 3 4 150 50 9 9 20 0 8 0 100 1 2 3",
+		"status": "Name:\ta\nVmHWM:\t   20 kB\nVmRSS:\t   10 kB\n",
+		"io":     "wchar: 5\nwrite_bytes: 4096\n",
+	} {
+		is.NoErr(os.WriteFile(filepath.Join(folder, "7", name), []byte(text), 0o600))
+	}
+	u, err := readUsage(folder, "7")
+	is.NoErr(err)
+	is.Equal(u, usage{cpu: 2 * time.Second, resident: 10 << 10, peak: 20 << 10, written: 4096})
+	_, err = readUsage(folder, "8")
+	is.Equal(fault.Of(err).Code, fault.NotFound)
+}
