--- a/control/lender/capacity_test.go
+++ b/control/lender/capacity_test.go
@@ -51,3 +51,24 @@
 		f.in.Holders[at[c.Holder]].Current[c.Limit] = ledger.Allotment{Share: c.Share, Ceiling: c.Share}
 	}
 }
+
+// BenchmarkPlanJoin plans the equal parts of 8 flows anew after one of the holders has joined.
+func BenchmarkPlanJoin(b *testing.B) {
+	for _, n := range []int{12, 100, 300, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFleet(n)
+			for w := range 8 {
+				f.workspace(ident.Workspace(fmt.Sprint("w", w)), 65536, 65536)
+			}
+			joined := f.in.Holders[n-1]
+			f.in.Holders = f.in.Holders[:n-1]
+			f.take(Plan(f.in))
+			f.in.Holders = append(f.in.Holders, joined)
+			changes := 0
+			for b.Loop() {
+				changes = len(Plan(f.in))
+			}
+			b.ReportMetric(float64(changes), "changes")
+		})
+	}
+}
--- a/load/nodes/change.go
+++ b/load/nodes/change.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/document"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
@@ -87,14 +88,15 @@
 // operator makes changes at the leader.
 type operator struct {
 	options *Options
+	clock   clock.Clock
 	tag     string
 	clients []rpc.Operations
 	session []rpc.Session
 	leader  int
 }
 
-func newOperator(o *Options, tag string) *operator {
-	p := &operator{options: o, tag: tag}
+func newOperator(o *Options, c clock.Clock, tag string) *operator {
+	p := &operator{options: o, clock: c, tag: tag}
 	for _, a := range o.Control {
 		client := &http.Client{Timeout: 10 * time.Second}
 		p.clients = append(p.clients, rpc.NewOperationsProtobufClient("http://"+a, client))
@@ -103,22 +105,27 @@
 	return p
 }
 
+// electTime bounds the wait for a leader, since a group that just started has none.
+const electTime = 5 * time.Second
+
 // follow calls at one member after the other until one leads.
-func (p *operator) follow(call func(i int) error) error {
-	var err error
-	for range p.options.Control {
-		if err = call(p.leader); err == nil || fault.Of(err).Code != fault.Leader && fault.Of(err).Code != fault.Unreachable {
+func (p *operator) follow(ctx context.Context, call func(i int) error) error {
+	for end := p.clock.Now().Add(electTime); ; {
+		err := call(p.leader)
+		if err == nil || fault.Of(err).Code != fault.Leader && fault.Of(err).Code != fault.Unreachable || !p.clock.Now().Before(end) {
 			return err
 		}
 		p.leader = (p.leader + 1) % len(p.options.Control)
+		if err := clock.Sleep(ctx, p.clock, 20*time.Millisecond); err != nil {
+			return err
+		}
 	}
-	return err
 }
 
 // revision returns the revision of a section.
 func (p *operator) revision(ctx context.Context, section document.Section) (uint64, error) {
 	var revision uint64
-	err := p.follow(func(i int) error {
+	err := p.follow(ctx, func(i int) error {
 		reply, err := p.clients[i].Show(ctx, &rpc.ShowRequest{Section: string(section)})
 		for _, s := range reply.GetSections() {
 			revision = s.GetRevision()
@@ -134,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	return p.follow(func(i int) error {
+	return p.follow(ctx, func(i int) error {
 		reply, err := p.clients[i].Apply(ctx, &rpc.ApplyRequest{
 			Section: string(section), Base: base, Id: fmt.Sprintf("%s-%s-%d", p.tag, section, base),
 			Operator: p.options.Operator, Credential: p.options.Credential, Text: text,
@@ -173,7 +180,7 @@
 		u := &rpc.Upstream{
 			Service: "read", Address: upstreamAddress(i), Domain: string(o.domain(i)), Slots: 8, Connections: 300, Incarnation: incarnation,
 		}
-		if err := p.follow(func(i int) error {
+		if err := p.follow(ctx, func(i int) error {
 			_, err := p.session[i].Announce(ctx, &rpc.AnnounceRequest{Upstream: u})
 			return err
 		}); err != nil {
--- a/load/nodes/nodes_test.go
+++ b/load/nodes/nodes_test.go
@@ -55,6 +55,9 @@
 }
 
 func (g *group) Apply(_ context.Context, r *rpc.ApplyRequest) (*rpc.ApplyReply, error) {
+	if g.leader != "" {
+		return nil, fault.Twirp(fault.New(fault.Leader, "apply change", g.leader, "this member does not lead"))
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r.GetSection() != "drains" {
--- a/load/nodes/run.go
+++ b/load/nodes/run.go
@@ -35,7 +35,7 @@
 
 func newRunner(o *Options, c clock.Clock) *runner {
 	r := &runner{options: o, clock: c, tag: uint64(c.Now().UnixNano()), tracker: newTracker(o.Count)}
-	r.operator = newOperator(o, fmt.Sprint("nodes-", r.tag))
+	r.operator = newOperator(o, c, fmt.Sprint("nodes-", r.tag))
 	return r
 }
 
