--- a/control/consensus/leader.go
+++ b/control/consensus/leader.go
@@ -119,7 +119,8 @@
 	n.renewLease()
 }
 
-// updatePeers makes the peers those of the latest membership.
+// updatePeers makes the peers those of the latest membership. It runs after the append of a single
+// entry, and a new peer is sent that entry at once, as its answer is what starts the lease.
 func (n *Node) updatePeers() {
 	for id := range n.lead.peers {
 		if findID(n.members(), id) == nil {
@@ -128,7 +129,7 @@
 	}
 	for _, m := range n.members() {
 		if m.Id != n.id && n.lead.peers[m.Id] == nil {
-			n.lead.peers[m.Id] = &peer{id: m.Id, next: n.log.last() + 1, probing: true}
+			n.lead.peers[m.Id] = &peer{id: m.Id, next: n.log.last(), probing: true}
 		}
 	}
 }
--- a/control/consensus/rules_test.go
+++ b/control/consensus/rules_test.go
@@ -169,16 +169,29 @@
 	}
 }
 
+// Guards against a new identity that acknowledges entries or a lease for the one that lost its disk.
+func TestAppendToOldIdentity(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	effects := h.Step(AppendAsked{h.at, 1, &wire.AppendRequest{Term: 6, Leader: "b", To: "old", PrevIndex: 2, PrevTerm: 4}}, nil)
+	reply := answer(effects).(*wire.AppendReply)
+	is.True(!reply.Ok)
+	is.Equal(reply.Member, "a")
+	is.Equal(h.term, uint64(5))
+	is.True(!h.bound())
+}
+
 // Guards against a candidate that counts its own vote, or asks for others, before it is durable.
 func TestCandidateSyncsFirst(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(1, 1)
-	h.at = DefaultMaxElection + 1
+	h.append(&wire.AppendRequest{Term: 1, PrevIndex: 1, PrevTerm: 1, Entries: []*wire.Entry{{Index: 2, Term: 1}}}) // unsynced
+	h.at += DefaultMaxElection + 1
 	is.Equal(len(asks(h.Step(Tick{h.at}, nil))), 2) // pre-votes change nothing durable
 	is.Equal(len(asks(h.vote("b", true))), 0)
 	is.Equal(h.role, Candidate)
-	h.Step(Saved{h.at, h.seq - 1}, nil)
-	is.Equal(h.role, Candidate)
+	is.True(!h.asked)
+	is.Equal(len(asks(h.Step(Saved{h.at, h.seq - 1}, nil))), 0)
 	is.Equal(len(asks(h.sync())), 2)
 	h.vote("stranger", false)
 	is.Equal(h.role, Candidate)
@@ -223,6 +236,21 @@
 	is.Equal(l.commit, first+1)
 }
 
+// Guards against a lease that counts from a late answer: the follower's promise began earlier.
+func TestLeaseFromSendTime(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	h.win()
+	h.at += DefaultMinElection
+	h.Step(Tick{h.at}, nil)
+	sent := h.at
+	is.True(!h.Leased(sent))
+	h.at += DefaultMinElection / 2
+	h.reply("b", h.log.last())
+	is.True(h.Leased(sent + DefaultMinElection*9/10 - 1))
+	is.True(!h.Leased(sent + DefaultMinElection*9/10))
+}
+
 // Guards against two lease holders: the old leader and the winner of the election that it asked for.
 func TestHandoverEndsLease(t *testing.T) {
 	is := is.New(t)
