--- a/control/consensus/leader.go
+++ b/control/consensus/leader.go
@@ -119,7 +119,8 @@
 	n.renewLease()
 }
 
-// updatePeers makes the peers those of the latest membership.
+// updatePeers makes the peers those of the latest membership. It runs after the append of a single
+// entry, and a new peer is sent that entry at once, as its answer is what starts the lease.
 func (n *Node) updatePeers() {
 	for id := range n.lead.peers {
 		if findID(n.members(), id) == nil {
@@ -128,7 +129,7 @@
 	}
 	for _, m := range n.members() {
 		if m.Id != n.id && n.lead.peers[m.Id] == nil {
-			n.lead.peers[m.Id] = &peer{id: m.Id, next: n.log.last() + 1, probing: true}
+			n.lead.peers[m.Id] = &peer{id: m.Id, next: n.log.last(), probing: true}
 		}
 	}
 }
@@ -258,12 +259,17 @@
 	if r.Ok {
 		p.match = max(p.match, r.Matched)
 		p.next = max(p.next, p.match+1)
-		p.probing = false
+		if p.probing {
+			// The peer answers again; appends sent before may still wait for their time-out.
+			p.probing, p.inflight = false, 0
+		}
 		n.advanceCommit()
 		n.promote(p)
-	} else if e.Request.PrevIndex > p.match {
+	} else if e.Request.PrevIndex > p.match || len(e.Request.Entries) > 0 {
+		// An append that overtook the one before it is refused, and has to be sent again even if the
+		// peer has the earlier one by now.
 		p.next = max(p.match+1, min(p.next, e.Request.PrevIndex, r.Matched+1))
-		p.probing = true
+		p.probing, p.inflight = true, 0
 	}
 	if m := findID(n.members(), p.id); m != nil && n.role == Leader {
 		n.send(m, p, false)
