load: count a repetition that hears pending as served

Callers repeat 2% of the non-idempotent requests on purpose. They counted as refused within the rate.

--- a/load/report/report.go
+++ b/load/report/report.go
@@ -171,10 +171,10 @@
 				continue
 			}
 			offered = append(offered, samples[i].Intended)
-			switch samples[i].Kind {
-			case Answered:
+			switch {
+			case samples[i].Kind == Answered || samples[i].dueRepeat():
 				w.Answered++
-			case Refused:
+			case samples[i].Kind == Refused:
 				w.Refused++
 			}
 		}
--- a/load/report/sample.go
+++ b/load/report/sample.go
@@ -40,6 +40,11 @@
 	Path      string          `json:"path,omitempty"` // where paths alternate within a run
 }
 
+// dueRepeat reports whether a repetition heard that the first request still runs, which is its due answer.
+func (s *Sample) dueRepeat() bool {
+	return s.Repeat && s.Kind == Refused && s.Code == fault.Pending
+}
+
 // Entitlement is what a workspace may use over the whole fleet.
 type Entitlement struct {
 	Workspace ident.Workspace   `json:"workspace"`
