load: judge a repetition's refusal by its own runs

After the kill of an entry VM one request counted as refused as not run though it ran. Its first send had run with an unknown outcome, and its deliberate repetition, which has the same id, was truly refused as not run. Each is now compared with its own runs.

--- a/load/answer/answer.go
+++ b/load/answer/answer.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"hash/fnv"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
@@ -19,6 +21,20 @@
 	SizeHeader    = "Load-Size"    // bytes of the answer
 )
 
+// repeatMark begins the attempt header of a deliberate repetition.
+const repeatMark = "repeat-"
+
+// AttemptName returns the attempt header of the nth attempt of a request or of its deliberate repetition.
+func AttemptName(n int, repeat bool) string {
+	if repeat {
+		return repeatMark + strconv.Itoa(n)
+	}
+	return strconv.Itoa(n)
+}
+
+// Repeated reports whether an attempt header is that of a repetition.
+func Repeated(attempt string) bool { return strings.HasPrefix(attempt, repeatMark) }
+
 // Head is the first line of an answer; padding derived from the request id follows.
 type Head struct {
 	Request   string          `json:"request"`
--- a/load/caller/exchange.go
+++ b/load/caller/exchange.go
@@ -115,7 +115,7 @@
 	request.GetBody = nil
 	request.ContentLength = int64(len(body))
 	request.Header.Set(answer.RequestHeader, r.ID)
-	request.Header.Set(answer.AttemptHeader, attemptName(r, x.Attempt))
+	request.Header.Set(answer.AttemptHeader, answer.AttemptName(x.Attempt, r.Repeat))
 	request.Header.Set(answer.SizeHeader, strconv.Itoa(int(r.Service.Answer)))
 	request.Header.Set("User-Agent", "load")
 	if r.Service.Once {
@@ -133,13 +133,6 @@
 // deadlineMargin is the time that a caller waits beyond the request's time, to hear the refusal.
 const deadlineMargin = 250 * time.Millisecond
 
-func attemptName(r *Request, n int) string {
-	if r.Repeat {
-		return "repeat-" + strconv.Itoa(n)
-	}
-	return strconv.Itoa(n)
-}
-
 // refused reads a refusal; one without Cuminfall-Run comes from an upstream, so its outcome is unknown.
 func (r Result) refused(response *http.Response, text []byte) Result {
 	r.Kind = report.Refused
--- a/load/report/report_test.go
+++ b/load/report/report_test.go
@@ -107,6 +107,11 @@
 	partial := sampleOf("partial", 0, Refused)
 	partial.Run = fault.NotRun
 	samples := []Sample{once, refused, partial, sampleOf("retried", 0, Answered), sampleOf("key", 0, Answered), sampleOf("foreign", 0, Answered)}
+	first := sampleOf("repeated", 0, Refused) // ran, and its repetition truly did not
+	first.Run, first.Once = fault.Unknown, true
+	again := first
+	again.Run, again.Repeat = fault.NotRun, true
+	samples = append(samples, first, again)
 	start := time.Unix(100, 0)
 	run := func(id, attempt string, w ident.Workspace, outcome upstream.Outcome, keys ...string) upstream.Run {
 		start = start.Add(time.Second)
@@ -117,6 +122,7 @@
 		run("untrue", "1", "acme", upstream.Done), run("partial", "1", "acme", upstream.Partial),
 		run("retried", "1", "acme", upstream.Done), run("retried", "1", "acme", upstream.Done),
 		run("key", "1", "acme", upstream.Done, "X-Note"), run("foreign", "1", "birch", upstream.Done),
+		run("repeated", "2", "acme", upstream.Done),
 		run("of another caller", "1", "acme", upstream.Done),
 	}
 	r := Compare(samples, runs, []Entitlement{{Workspace: "acme", Rate: 1, Burst: 1}}, 0)
@@ -124,8 +130,10 @@
 	is.Equal(r.Untrue, []string{"untrue"})
 	is.Equal(r.Keys, []string{"key"})
 	is.Equal(r.Foreign, []string{"foreign"})
-	is.Equal(r.Count, 8)
+	is.Equal(r.Count, 9)
 	is.Equal(len(r.Excess), 0)
+	runs = append(runs, run("repeated", "repeat-1", "acme", upstream.Done))
+	is.Equal(Compare(samples, runs, nil, 0).Untrue, []string{"repeated", "untrue"})
 	slow := Compare(samples, runs, []Entitlement{{Workspace: "acme", Rate: 0.1, Burst: 1}}, 0)
 	is.Equal(len(slow.Excess), 1)
 }
--- a/load/report/runs.go
+++ b/load/report/runs.go
@@ -11,6 +11,7 @@
 
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/load/answer"
 	"cuminfall.example/load/upstream"
 )
 
@@ -46,6 +47,7 @@
 		}
 	}
 	ran := make(map[string]int)
+	ranFor := make(map[string]bool) // by request and whether it was the repetition that ran
 	started := make(map[ident.Workspace][]time.Time)
 	seen := make(map[string]bool)
 	for i := range runs {
@@ -57,6 +59,7 @@
 		r.Count++
 		if run.Outcome != upstream.Partial {
 			ran[run.Request]++
+			ranFor[sender(run.Request, answer.Repeated(run.Attempt))] = true
 		}
 		if run.Workspace != s.Workspace {
 			r.Foreign = append(r.Foreign, run.Request)
@@ -75,8 +78,11 @@
 		if s.Once && n > 1 {
 			r.Doubles = append(r.Doubles, id)
 		}
-		if s.Kind == Refused && s.Run == fault.NotRun {
-			r.Untrue = append(r.Untrue, id)
+	}
+	for i := range samples {
+		s := &samples[i]
+		if s.Kind == Refused && s.Run == fault.NotRun && ranFor[sender(s.Request, s.Repeat)] {
+			r.Untrue = append(r.Untrue, s.Request)
 		}
 	}
 	sort.Strings(r.Doubles)
@@ -85,6 +91,15 @@
 	return r
 }
 
+// sender tells a request from its deliberate repetition, which has the same id: a
+// repetition that was not run says nothing about the first.
+func sender(request string, repeat bool) string {
+	if repeat {
+		return request + "/repeat"
+	}
+	return request
+}
+
 func (r *Runs) excess(started map[ident.Workspace][]time.Time, entitlements []Entitlement, slack time.Duration) {
 	for _, e := range entitlements {
 		times := started[e.Workspace]
