--- a/load/report/report_test.go
+++ b/load/report/report_test.go
@@ -82,6 +82,9 @@
 		}
 		samples = append(samples, sampleOf("acme", at, kind))
 	}
+	repeat := sampleOf("repeat", 2*time.Second, Refused) // hears that the first request still runs
+	repeat.Repeat, repeat.Code = true, fault.Pending
+	samples = append(samples, repeat)
 	r := Summarize(samples, []Entitlement{
 		{Workspace: "greedy", Rate: 10, Burst: 1}, {Workspace: "acme", Rate: 10, Burst: 1},
 	}, 0, 2*time.Second)
@@ -89,7 +92,7 @@
 	is.Equal(r.Workspaces[0].Wrongful, 0)
 	is.Equal(r.Workspaces[1].Wrongful, 1)
 	is.Equal(r.Wrongful, 1)
-	is.Equal(r.Worst, Worst{Workspace: "acme", Served: 0.95})
+	is.Equal(r.Worst, Worst{Workspace: "acme", Served: 20.0 / 21})
 	is.Equal(r.Total.P50.Round(time.Millisecond), 5*time.Millisecond)
 }
 
@@ -104,6 +107,11 @@
 	partial := sampleOf("partial", 0, Refused)
 	partial.Run = fault.NotRun
 	samples := []Sample{once, refused, partial, sampleOf("retried", 0, Answered), sampleOf("key", 0, Answered), sampleOf("foreign", 0, Answered)}
+	first := sampleOf("repeated", 0, Refused) // ran, and its repetition truly did not
+	first.Run, first.Once = fault.Unknown, true
+	again := first
+	again.Run, again.Repeat = fault.NotRun, true
+	samples = append(samples, first, again)
 	start := time.Unix(100, 0)
 	run := func(id, attempt string, w ident.Workspace, outcome upstream.Outcome, keys ...string) upstream.Run {
 		start = start.Add(time.Second)
@@ -114,6 +122,7 @@
 		run("untrue", "1", "acme", upstream.Done), run("partial", "1", "acme", upstream.Partial),
 		run("retried", "1", "acme", upstream.Done), run("retried", "1", "acme", upstream.Done),
 		run("key", "1", "acme", upstream.Done, "X-Note"), run("foreign", "1", "birch", upstream.Done),
+		run("repeated", "2", "acme", upstream.Done),
 		run("of another caller", "1", "acme", upstream.Done),
 	}
 	r := Compare(samples, runs, []Entitlement{{Workspace: "acme", Rate: 1, Burst: 1}}, 0)
@@ -121,8 +130,10 @@
 	is.Equal(r.Untrue, []string{"untrue"})
 	is.Equal(r.Keys, []string{"key"})
 	is.Equal(r.Foreign, []string{"foreign"})
-	is.Equal(r.Count, 8)
+	is.Equal(r.Count, 9)
 	is.Equal(len(r.Excess), 0)
+	runs = append(runs, run("repeated", "repeat-1", "acme", upstream.Done))
+	is.Equal(Compare(samples, runs, nil, 0).Untrue, []string{"repeated", "untrue"})
 	slow := Compare(samples, runs, []Entitlement{{Workspace: "acme", Rate: 0.1, Burst: 1}}, 0)
 	is.Equal(len(slow.Excess), 1)
 }
