replica: report a failed disk to waiting proposals

Cause: proposals that waited when the disk failed were told that the lead was lost, not that the disk failed. Change: they get code internal with an unknown outcome. TestFullDisk writes to a disk without space and checks this, that later proposals are certainly refused, that the lease ends, and that Run returns the error.

--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -220,8 +220,8 @@
 	}
 	r.failure = err
 	r.opts.Log.WithError(err).Error("the member stops: its disk or state failed")
+	r.failWaiters(0, fault.Internal, "the disk or state failed") // before the step, which would call it a lost lead
 	r.step(consensus.DiskFailed{At: r.at()})
-	r.failWaiters(0, fault.Internal, "the disk failed")
 	close(r.failed)
 }
 
--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/control/consensus"
+	"cuminfall.example/control/journal"
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
@@ -187,3 +190,55 @@
 	is.Equal(fault.Of(err).Code, fault.Leader)
 	is.Equal(fault.Of(err).Run, fault.NotRun)
 }
+
+// fullDisk fails writes to the log once it is full.
+type fullDisk struct {
+	journal.Disk
+	full atomic.Bool
+}
+
+type fullFile struct {
+	journal.File
+	disk *fullDisk
+}
+
+func (d *fullDisk) Create(name string) (journal.File, error) {
+	f, err := d.Disk.Create(name)
+	return fullFile{f, d}, err
+}
+
+func (f fullFile) Write(p []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// Guards against a member that leads or acknowledges on a full disk.
+func TestFullDisk(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	is.NoErr(Init(folder, "vm", "127.0.0.1:1", nil))
+	disk, err := journal.OpenFolder(folder)
+	is.NoErr(err)
+	defer func() { _ = disk.Close() }()
+	full := &fullDisk{Disk: disk}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r, err := Open(Options{Name: "vm", Address: "127.0.0.1:1", Disk: full, Machine: &words{}, Log: log})
+	is.NoErr(err)
+	done := make(chan error, 1)
+	go func() { done <- r.Run(context.Background()) }()
+	wait(t, "a leader", func() bool { _, _, ok := r.Lead(); return ok })
+	_, err = r.Propose(context.Background(), []byte("kept"))
+	is.NoErr(err)
+	full.full.Store(true)
+	_, err = r.Propose(context.Background(), []byte("lost"))
+	is.Equal(fault.Of(err).Code, fault.Internal)
+	is.Equal(fault.Of(err).Run, fault.Unknown)
+	_, err = r.Propose(context.Background(), nil)
+	is.Equal(fault.Of(err).Run, fault.NotRun)
+	_, _, ok := r.Lead()
+	is.True(!ok)
+	is.True(<-done != nil)
+}
