--- a/control/journal/journal_test.go
+++ b/control/journal/journal_test.go
@@ -123,7 +123,7 @@
 				fault(m)
 				is.True(save(j) != nil)
 				m.limit, m.sync = false, nil
-				is.True(j.Save(nil, nil, []*wire.Entry{entry(5, 2)}) != nil) // stays refused
+				is.True(j.Save(&wire.HardState{Id: "a", Term: 3}, nil, []*wire.Entry{entry(5, 2)}) != nil) // stays refused
 				after := m.crash(0)
 				is.Equal(terms(t, after), []uint64{1, 1, 1, 2})
 			})
