server: test settings with five faults and members that do not lead

An unknown key at the top level of a settings file is not reported by fleet/settings (seen with the key colour); that package is outside this change, so the test covers the five faults of known keys only.

--- /dev/null
+++ b/control/server/refusal_test.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/rpc"
+	"cuminfall.example/fleet/settings"
+)
+
+// TestSettingsFaults guards against a report that stops at the first fault.
+func TestSettingsFaults(t *testing.T) {
+	is := is.New(t)
+	err := settings.Parse("f", "name = \"a b\"\naddress = \"here\"\nadmin = \"127.0.0.1:1\"\nlevel = \"loud\"\nlease = \"1ms\"\n", DefaultSettings())
+	var problems *settings.Problems
+	is.True(errors.As(err, &problems))
+	is.Equal(len(problems.List), 5) // name, address, data, level, lease
+}
+
+// TestNotLeader guards against an answer without the leader lease, and against one that hides the leader's address.
+func TestNotLeader(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 0, 0, 0)
+	s.setUp(1)
+	is.Equal(s.fault, "")
+	ask := &rpc.SyncRequest{Vm: "e0", Incarnation: 1, Address: "10.0.0.9:80", Domain: "d1"}
+	reply, err := s.leader.server.Sync(context.Background(), ask)
+	is.NoErr(err)
+	is.Equal(len(reply.GetConfig().GetSections()), 6)
+	s.leader.leads = false
+	_, err = s.leader.server.Sync(context.Background(), ask)
+	is.Equal(fault.Of(err).Code, fault.Leader)
+	is.Equal(fault.Of(err).Peer, "10.0.0.1:1")
+	_, err = s.leader.server.Show(context.Background(), &rpc.ShowRequest{})
+	is.Equal(fault.Of(err).Code, fault.Leader)
+}
