--- /dev/null
+++ b/fleet/limit/limit_test.go
@@ -0,0 +1,121 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminfall.example/fleet/ident"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// Guards against tokens that appear without having accrued under a lease.
+func TestBucket(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  func(b *Bucket)
+		at   time.Duration
+		want float64
+	}{
+		{"new", func(*Bucket) {}, 0, 0},
+		{"accrues", func(*Bucket) {}, 200 * time.Millisecond, 2},
+		{"accrues up to the burst", func(*Bucket) {}, 2 * time.Second, 5},
+		{"raised", func(b *Bucket) { b.Resize(after(time.Second), 10, 50) }, time.Second, 5},
+		{"lowered", func(b *Bucket) { b.Resize(after(time.Second), 10, 2) }, time.Second, 2},
+		{"lapsed", func(*Bucket) {}, 3 * time.Second, 0},
+		{"renewed after a lapse", func(b *Bucket) { b.Renew(after(4*time.Second), after(7*time.Second)) }, 4100 * time.Millisecond, 1},
+		{"renewed in time", func(b *Bucket) { b.Renew(after(2*time.Second), after(5*time.Second)) }, 4 * time.Second, 5},
+		{"renewal never shortens", func(b *Bucket) { b.Renew(after(time.Second), after(time.Second)) }, 2 * time.Second, 5},
+		{"taken", func(b *Bucket) { b.Take(after(time.Second), 4) }, time.Second, 1},
+		{"not enough", func(b *Bucket) { b.Take(after(time.Second), 6) }, time.Second, 5},
+		{"returned", func(b *Bucket) { b.Take(after(time.Second), 4); b.Return(after(time.Second), 1) }, time.Second, 2},
+		{"returned to a full bucket", func(b *Bucket) { b.Return(after(time.Second), 4) }, time.Second, 5},
+		{"time goes back", func(b *Bucket) { b.Tokens(after(time.Second)) }, 500 * time.Millisecond, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var b Bucket
+			is.True(!b.Take(start, 0.1))
+			b.Resize(start, 10, 5)
+			b.Renew(start, after(3*time.Second))
+			c.run(&b)
+			is.Equal(b.Tokens(after(c.at)), c.want)
+			is.Equal(b.Take(after(c.at), c.want+0.001), false)
+		})
+	}
+}
+
+// Guards against waits that are too short, or for tokens that never come.
+func TestReady(t *testing.T) {
+	for _, c := range []struct {
+		n     float64
+		delay time.Duration
+		ok    bool
+	}{
+		{1, 100 * time.Millisecond, true},
+		{5, 500 * time.Millisecond, true},
+		{6, 0, false},
+	} {
+		is := is.New(t)
+		var b Bucket
+		b.Resize(start, 10, 5)
+		b.Renew(start, after(3*time.Second))
+		delay, ok := b.Ready(start, c.n)
+		is.Equal(delay, c.delay)
+		is.Equal(ok, c.ok)
+		if ok {
+			is.True(b.Take(after(delay), c.n))
+		}
+	}
+}
+
+// Guards against units taken above the share or without a lease.
+func TestCounter(t *testing.T) {
+	is := is.New(t)
+	var c Counter
+	is.True(!c.Take(start))
+	c.Resize(2)
+	is.True(!c.Take(start))
+	c.Renew(after(time.Second))
+	is.True(c.Take(start))
+	is.True(c.Take(start))
+	is.True(!c.Take(start))
+	c.Resize(1)
+	c.Release()
+	is.True(!c.Take(start)) // one is still in use
+	c.Release()
+	is.Equal(c.Free(start), uint32(1))
+	is.Equal(c.Free(after(time.Second)), uint32(0))
+	is.True(!c.Take(after(time.Second)))
+	c.Release()
+	is.Equal(c.Used(), uint32(0))
+	c.Use()
+	is.Equal(c.Used(), uint32(1))
+}
+
+// Guards against ids that cannot be taken apart again.
+func TestSplit(t *testing.T) {
+	for _, c := range []struct {
+		id   ident.Limit
+		kind Kind
+		name string
+		flow bool
+	}{
+		{OfWorkspace("w"), Workspace, "w", true},
+		{OfSlots("127.0.0.1:1"), Slots, "127.0.0.1:1", false},
+		{OfConnections("[::1]:1"), Connections, "[::1]:1", false},
+		{OfRegion("r"), Region, "r", false},
+		{OfLink("a", "b"), Link, "a>b", true},
+		{OfShift("s"), Shift, "s", true},
+	} {
+		is := is.New(t)
+		kind, name := Split(c.id)
+		is.Equal(kind, c.kind)
+		is.Equal(name, c.name)
+		is.Equal(kind.Flow(), c.flow)
+	}
+}
--- a/fleet/settings/settings.go
+++ b/fleet/settings/settings.go
@@ -145,14 +145,9 @@
 			c.decoded[key] = true
 		}
 	}
-	unknown := md.Undecoded()
-	sort.Slice(unknown, func(i, j int) bool { return unknown[i].String() < unknown[j].String() })
-	for _, key := range unknown {
-		if c.decoded[key[0]] {
-			continue
-		}
-		if len(key) > 1 || !known[key[0]] {
-			c.Fail(key.String(), "an unknown key", "the keys in the operators' page")
+	for _, key := range unknownKeys(&md, raw, known) {
+		if top, _, _ := strings.Cut(key, "."); !c.decoded[top] {
+			c.Fail(key, "an unknown key", "the keys in the operators' page")
 		}
 	}
 	into.Check(c)
@@ -161,3 +156,22 @@
 	}
 	return nil
 }
+
+// unknownKeys returns the keys of the file that no field takes, sorted. The
+// decoder counts a top-level key as decoded once it is in raw, so these are
+// compared with the fields, and only keys below them are asked of the decoder.
+func unknownKeys(md *toml.MetaData, raw map[string]toml.Primitive, known map[string]bool) []string {
+	var keys []string
+	for key := range raw {
+		if !known[key] {
+			keys = append(keys, key)
+		}
+	}
+	for _, key := range md.Undecoded() {
+		if len(key) > 1 && known[key[0]] {
+			keys = append(keys, key.String())
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
