run: refuse a lookup lifetime of 0

The router takes 0 for its default of 5 s, so a setting of 0 s gave a planned stop of 6 s. Seen in one manual run without control: SIGTERM, exit code 0 after 6.0 s. A value of 0 is now a fault in the settings.

--- a/entry/gateway/run/settings.go
+++ b/entry/gateway/run/settings.go
@@ -44,7 +44,8 @@
 	c.Span("timeout", s.Timeout, 100*time.Millisecond, 10*time.Second)
 	// Over 4 s a withdrawn key could work longer than the promised few seconds.
 	c.Span("freshness", s.Freshness, 500*time.Millisecond, router.DefaultFreshness)
-	c.Span("lifetime", s.Lifetime, 0, time.Minute)
+	// The router takes 0 for its default.
+	c.Span("lifetime", s.Lifetime, time.Millisecond, time.Minute)
 	c.Span("silence", s.Silence, 100*time.Millisecond, time.Minute)
 	c.Span("dial", s.Dial, 10*time.Millisecond, 10*time.Second)
 }
