--- /dev/null
+++ b/cuminfall/section/end.go
@@ -0,0 +1,32 @@
+package section
+
+import (
+	"context"
+
+	"cuminfall.example/cuminfall/command"
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/fault"
+)
+
+// Remover is a section whose items can be removed by name.
+type Remover interface {
+	// Remove deletes the item and reports whether it was there.
+	Remove(name string) bool
+}
+
+// End returns the "end" command of a noun whose section is a Remover.
+func End(f *command.Factory, noun string, name document.Section) *command.Command {
+	e := &Editor{Factory: f}
+	return &command.Command{
+		Noun: noun, Verb: "end", Args: "NAME", Short: "End a " + noun, Flags: e.Flags(noun + " end"),
+		Example: "cuminfall " + noun + " end patching",
+		Run: func(ctx context.Context, args []string) error {
+			return e.Change(ctx, name, func(part document.Part) error {
+				if !part.(Remover).Remove(args[0]) {
+					return fault.New(fault.NotFound, "edit section", string(name), "no %s %q", noun, args[0])
+				}
+				return nil
+			})
+		},
+	}
+}
