router: report units in use with every confirmation

Held withheld the version of the allotments while any count was above its share. One long request thus blocked the confirmation of all lowered shares, and on a busy VM hardly any moment had all counts within their shares, so lowered shares stayed as ceilings and others could not be raised. Demands now report the units in use of every count, and control lowers each ceiling to max(share, used); free() already refuses new work above a share, so what is in use can only fall. Ruled out: a version per limit, which the session has no room for.

--- a/entry/router/demand.go
+++ b/entry/router/demand.go
@@ -20,12 +20,14 @@
 //   - A link wants the bytes moved and held back per second.
 //   - A shift wants the requests per second that its fraction amounts to.
 //
-// Limits of which nothing is wanted are left out.
+// Every count with units in use reports them, because control may lend a
+// lowered share to others only beyond what is still in use here. Other limits of
+// which nothing is wanted are left out.
 func (r *Router) Demands(at time.Time, out []*rpc.Demand) []*rpc.Demand {
 	r.advance(at)
 	v := &r.view
 	for _, w := range v.workspaceList {
-		out = demand(out, limit.OfWorkspace(w.name), w.arrivals.rate(r.now)+float64(w.waiting+w.claiming), w.waiting)
+		out = demand(out, limit.OfWorkspace(w.name), w.arrivals.rate(r.now)+float64(w.waiting+w.claiming), w.waiting, 0)
 	}
 	waiting := v.spread()
 	regions := make(map[*region]float64)
@@ -33,9 +35,9 @@
 	for _, e := range v.endpointList {
 		n := waiting[e]
 		wanted := e.decayedPeak(r.now) + float64(n)
-		out = demand(out, e.slotsID, wanted, n)
+		out = demand(out, e.slotsID, wanted, n, e.slots.Used())
 		if e.connLimited {
-			out = demand(out, e.connsID, wanted, n)
+			out = demand(out, e.connsID, wanted, n, e.conns.Used())
 		}
 		if e.region != nil {
 			regions[e.region] += wanted
@@ -44,17 +46,17 @@
 	}
 	for _, g := range v.regionList {
 		if g.limited {
-			out = demand(out, limit.OfRegion(g.name), regions[g], queues[g])
+			out = demand(out, limit.OfRegion(g.name), regions[g], queues[g], g.counter.Used())
 		}
 	}
 	for _, l := range v.linkList {
 		if l.known {
-			out = demand(out, l.id, l.moved.rate(r.now)+l.delayed.rate(r.now), 0)
+			out = demand(out, l.id, l.moved.rate(r.now)+l.delayed.rate(r.now), 0, 0)
 		}
 	}
 	for _, s := range v.shiftList {
 		if s.known {
-			out = demand(out, limit.OfShift(s.name), s.arrivals.rate(r.now), 0)
+			out = demand(out, limit.OfShift(s.name), s.arrivals.rate(r.now), 0, 0)
 		}
 	}
 	return out
@@ -63,11 +65,11 @@
 // leastDemand is below what matters to a plan of shares.
 const leastDemand = 0.01
 
-func demand(out []*rpc.Demand, id ident.Limit, wanted float64, waiting int) []*rpc.Demand {
-	if wanted < leastDemand {
+func demand(out []*rpc.Demand, id ident.Limit, wanted float64, waiting int, used uint32) []*rpc.Demand {
+	if wanted < leastDemand && used == 0 {
 		return out
 	}
-	return append(out, &rpc.Demand{Limit: string(id), Wanted: wanted, Waiting: uint32(waiting)})
+	return append(out, &rpc.Demand{Limit: string(id), Wanted: wanted, Waiting: uint32(waiting), Used: used})
 }
 
 // spread divides the waiting requests of each service among its nearest active candidates.
--- a/entry/router/property_test.go
+++ b/entry/router/property_test.go
@@ -323,6 +323,12 @@
 
 // exchange begins a session exchange; its reply may be delivered late, twice or never.
 func (m *model) exchange(t *rapid.T) {
+	reported := usedOf(m.r)
+	for a, n := range m.used {
+		if got := reported[string(limit.OfSlots(a))]; got != n {
+			t.Fatalf("%d slots of %s reported in use, want %d", got, a, n)
+		}
+	}
 	d := delivery{sent: m.now, reply: m.p.reply(t)}
 	if rapid.Bool().Draw(t, "same") {
 		d.reply = m.p.same()
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -135,18 +135,15 @@
 	return at.Sub(r.view.proven), !r.view.proven.IsZero()
 }
 
-// Held returns the versions for the next session exchange. The version of the
-// allotments is confirmed only when no count is above its share, because
-// control lends the difference to others as soon as it is confirmed.
+// Held returns the versions for the next session exchange. Demands of the same
+// moment belong to it: control lowers the ceiling of a count to what this
+// version allows or to what the demand has in use, whichever is more.
 func (r *Router) Held() *rpc.Versions {
-	if r.view.withinShares() {
-		r.view.confirmed = r.view.allotments
-	}
 	return &rpc.Versions{
 		Config:     r.view.config,
 		Registry:   r.view.registry,
 		Members:    r.view.members,
-		Allotments: r.view.confirmed,
+		Allotments: r.view.allotments,
 	}
 }
 
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -21,7 +21,6 @@
 	registry   uint64
 	members    uint64
 	allotments uint64
-	confirmed  uint64 // allotments that control may count on
 
 	revisions map[document.Section]ident.Revision
 	document  document.Document
@@ -401,21 +400,6 @@
 	}
 }
 
-// withinShares reports whether every count is within its share.
-func (v *view) withinShares() bool {
-	for _, e := range v.endpointList {
-		if e.slots.Used() > e.slots.Share() || e.connLimited && e.conns.Used() > e.conns.Share() {
-			return false
-		}
-	}
-	for _, g := range v.regionList {
-		if g.limited && g.counter.Used() > g.counter.Share() {
-			return false
-		}
-	}
-	return true
-}
-
 // connect works out which endpoints are candidates of which service and how far they are.
 func (v *view) connect(domain ident.Domain) {
 	places := make(map[ident.Domain]ident.Region)
