router: send only what the service can still answer

A request was sent as long as its deadline had not passed. With FIFO queues and more demand than rate, the head of a queue is always nearly overdue: most of what was sent then ended at its deadline as unknown, and its tokens and slots were wasted. Each service now has a decaying 0.9 quantile of its response times, bounded by a quarter of the caller's time-out; a request that cannot be sent before its deadline less that time is refused as not run at that moment. A request is refused on arrival when the tokens of its whole workspace up to then do not suffice for those ahead of it and itself. Attempts cut before an answer count as slower than the quantile when they took longer.

Ruled out: a mean, which one upload moves; the quantile without decay, which keeps refusing after a slow period because nothing renews it.

--- a/entry/router/arrive.go
+++ b/entry/router/arrive.go
@@ -24,6 +24,8 @@
 	q := r.idle.get()
 	q.id, q.service, q.workspace = e.ID, s, w
 	q.key, q.hash, q.deadline = e.Key, e.Hash, e.Deadline
+	q.timeout = e.Deadline.Sub(e.At)
+	q.latest = r.latestStart(q)
 	r.requests[q.id] = q
 
 	if s.waiting == 0 && (w.waiting == 0 || w.bucket.Tokens(r.now) >= float64(w.waiting+1)) {
@@ -32,6 +34,9 @@
 			return out
 		}
 	}
+	if r.hopeless(q) {
+		return r.refuse(q, notRun(fault.Rate, "share", string(w.name), "more requests wait than the rate serves before the deadline"), out)
+	}
 	if w.queue(s).count() >= r.config.Queue {
 		return r.refuse(q, r.short(q), out)
 	}
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -22,7 +22,7 @@
 	if !r.Fresh(r.now) {
 		return started, r.refuse(q, r.stale(), out)
 	}
-	if !r.now.Before(q.deadline) {
+	if r.overdue(q) {
 		return started, r.refuse(q, r.expired(q), out)
 	}
 	w := q.workspace
@@ -69,6 +69,7 @@
 	r.timers.remove(q)
 	e.take(r.now)
 	q.state, q.endpoint, q.region = sent, e, e.region
+	q.sentAt = r.now
 	q.tried[q.attempt] = e
 	q.attempt++
 	if q.attempt == 1 {
@@ -157,6 +158,7 @@
 	at.conns.Release()
 	q.region.counter.Release()
 	q.endpoint, q.region, q.state = nil, nil, 0
+	r.sample(q, e)
 	switch e.Outcome {
 	case Answered:
 		at.failures.succeeded()
@@ -209,7 +211,7 @@
 
 // mayRetry reports whether another endpoint, of which this VM has a share, may get the request.
 func (r *Router) mayRetry(q *request, e *Ended) bool {
-	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(q.deadline) {
+	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(r.latestStart(q)) {
 		return false
 	}
 	for _, other := range q.service.endpoints {
--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -216,9 +216,7 @@
 	if !r.Fresh(r.now) {
 		out = r.refuseStale(out)
 	}
-	for q := r.timers.first(); q != nil && !r.now.Before(q.deadline); q = r.timers.first() {
-		out = r.refuse(q, r.expired(q), out)
-	}
+	out = r.endOverdue(out)
 	if r.waiting == 0 {
 		return out
 	}
@@ -244,10 +242,10 @@
 	return out
 }
 
-// expired says why a request was not started before its deadline.
+// expired says why a request was not started in time to be answered before its deadline.
 func (r *Router) expired(q *request) *fault.Error {
 	if q.state == claiming {
-		return notRun(fault.Deadline, "claim", "control", "time-out passed while the request was claimed")
+		return notRun(fault.Deadline, "claim", "control", "too little time is left after the wait for the claim")
 	}
 	return r.short(q)
 }
@@ -292,9 +290,9 @@
 		return time.Time{}, false
 	}
 	if r.waiting == 0 {
-		return first.deadline, true
+		return first.latest, true
 	}
-	return earlier(first.deadline, r.due), true
+	return earlier(first.latest, r.due), true
 }
 
 // schedule works out when waiting requests can go on.
--- a/entry/router/request.go
+++ b/entry/router/request.go
@@ -26,6 +26,9 @@
 	key       ident.KeyID
 	hash      KeyHash
 	deadline  time.Time
+	timeout   time.Duration // that the caller gave
+	latest    time.Time     // when it must be sent, as last worked out
+	sentAt    time.Time     // of the running attempt
 	state     state
 	claimed   bool // the right to run a non-idempotent request is held
 
@@ -103,7 +106,7 @@
 	}
 }
 
-// deadlines is a binary heap of the requests that are not at an upstream, earliest deadline first.
+// deadlines is a binary heap of the requests that are not at an upstream, earliest latest start first.
 type deadlines struct {
 	heap []*request
 }
@@ -148,7 +151,7 @@
 func (d *deadlines) up(i int) {
 	for i > 0 {
 		parent := (i - 1) / 2
-		if !d.heap[i].deadline.Before(d.heap[parent].deadline) {
+		if !d.heap[i].latest.Before(d.heap[parent].latest) {
 			return
 		}
 		d.swap(i, parent)
@@ -160,7 +163,7 @@
 	for {
 		least := i
 		for child := 2*i + 1; child <= 2*i+2 && child < len(d.heap); child++ {
-			if d.heap[child].deadline.Before(d.heap[least].deadline) {
+			if d.heap[child].latest.Before(d.heap[least].latest) {
 				least = child
 			}
 		}
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -64,6 +64,7 @@
 	credited  bool     // that queue has got its quantum
 	waiting   int
 	start     int // rotates the order of equal candidates
+	pace      pace
 }
 
 type workspace struct {
