router: confirm lowered shares at once

A lowered share is free for others only when its holder has confirmed it, and the holder confirmed with its next regular exchange, up to 200 ms after it had applied the change. After a drain or a change of demand the VMs that need the slots waited for that. An exchange that lowers any share now asks for another one at once, at most every 50 ms as for waiting requests.

Ruled out: a shorter exchange interval, which costs all the time.

--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -144,7 +144,8 @@
 	Truncated bool // the caller's connection must be aborted
 }
 
-// Ask wants a session exchange at once, because requests wait for a share.
+// Ask wants a session exchange at once, because requests wait for a share or
+// others wait until this VM confirms a lowered one.
 type Ask struct{}
 
 func (*Refuse) effect() {}
--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -259,7 +259,7 @@
 	return notRun(fault.Busy, "dispatch", string(q.service.Name), "no capacity before the deadline")
 }
 
-// askSpacing bounds how often an exchange is asked for while requests wait.
+// askSpacing bounds how often an exchange is asked for.
 const askSpacing = 50 * time.Millisecond
 
 // askIfShort wants an exchange at once when requests wait that the shares
@@ -275,14 +275,22 @@
 			if ok && delay > 0 && r.now.Add(delay).Before(next) {
 				continue
 			}
-			r.asked = r.now
-			r.stats.Asked++
-			return append(out, &r.ask)
+			return r.askNow(out)
 		}
 	}
 	return out
 }
 
+// askNow wants an exchange at once, unless one was just asked for.
+func (r *Router) askNow(out []Effect) []Effect {
+	if r.now.Sub(r.asked) < askSpacing {
+		return out
+	}
+	r.asked = r.now
+	r.stats.Asked++
+	return append(out, &r.ask)
+}
+
 // Next returns when the next Tick is due, or false when no request waits.
 func (r *Router) Next() (time.Time, bool) {
 	first := r.timers.first()
--- a/entry/router/route_test.go
+++ b/entry/router/route_test.go
@@ -241,3 +241,32 @@
 	r.Step(&Ended{At: epoch.Add(time.Hour), ID: 1, Outcome: Answered}, nil)
 	is.Equal(usedOf(r)["slots/"+near], uint32(0))
 }
+
+// Guards against a lowered share that others can use only after the regular exchange.
+func TestLoweredShareIsConfirmedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ask  bool
+		set  func(*plant)
+	}{
+		{"nothing", false, func(*plant) {}},
+		{"raised slots", false, func(p *plant) { p.share(limit.OfSlots(near), 0, 0, 3) }},
+		{"lowered slots", true, func(p *plant) { p.share(limit.OfSlots(near), 0, 0, 1) }},
+		{"lowered rate", true, func(p *plant) { p.share(limit.OfWorkspace("w0"), 999, 1000, 0) }},
+		{"lowered burst", true, func(p *plant) { p.share(limit.OfWorkspace("w0"), 1000, 999, 0) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlant()
+			p.upstream("read", near, "a1", 2)
+			r := p.start(t)
+			c.set(p)
+			asked := false
+			for _, e := range r.Step(&Synced{At: epoch, Sent: epoch, Reply: p.reply(t)}, nil) {
+				_, ok := e.(*Ask)
+				asked = asked || ok
+			}
+			is.Equal(asked, c.ask)
+		})
+	}
+}
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -121,7 +121,7 @@
 		return r.pumpAll(out)
 	}
 	v, reply, got := &r.view, e.Reply, e.Reply.Versions
-	changed := false
+	changed, lowered := false, false
 	if reply.Config != nil && r.newer(got.Config, v.config) && r.applyConfig(reply.Config) {
 		v.config, changed = got.Config, true
 	}
@@ -136,7 +136,7 @@
 	until := e.Sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond)
 	if reply.Allotments != nil && r.newer(got.Allotments, v.allotments) {
 		v.allotments = got.Allotments
-		r.applyAllotments(reply.Allotments.Allotments)
+		lowered = r.applyAllotments(reply.Allotments.Allotments)
 	}
 	if got.Allotments == v.allotments && got.Allotments > 0 {
 		r.renew(until)
@@ -149,6 +149,9 @@
 	if got.Config == v.config && v.config > 0 && e.Sent.After(v.proven) {
 		v.proven = e.Sent
 	}
+	if lowered {
+		out = r.askNow(out) // others wait for the confirmation
+	}
 	return r.pumpAll(out)
 }
 
@@ -353,8 +356,8 @@
 	v.endpointList = live
 }
 
-// applyAllotments sets every share; a limit that is not listed has none.
-func (r *Router) applyAllotments(list []*rpc.Allotment) {
+// applyAllotments sets every share and reports whether one was lowered; a limit that is not listed has none.
+func (r *Router) applyAllotments(list []*rpc.Allotment) (lowered bool) {
 	v := &r.view
 	flows := make(map[ident.Limit]*rpc.Allotment)
 	counts := make(map[ident.Limit]uint32)
@@ -381,11 +384,14 @@
 	}
 	for _, w := range v.workspaceList {
 		a := flows[limit.OfWorkspace(w.name)]
+		lowered = lowered || below(a, w.share)
 		w.share = a
 		w.bucket.Resize(r.now, a.GetRate(), a.GetBurst())
 	}
 	for _, l := range v.linkList {
-		l.share = flows[l.id]
+		a := flows[l.id]
+		lowered = lowered || below(a, l.share)
+		l.share = a
 		l.bucket.Resize(r.now, l.share.GetRate(), l.share.GetBurst())
 	}
 	for _, s := range v.shiftList {
@@ -393,12 +399,21 @@
 		s.bucket.Resize(r.now, a.GetRate(), a.GetBurst())
 	}
 	for _, e := range v.endpointList {
+		lowered = lowered || counts[e.slotsID] < e.slots.Share()
 		e.slots.Resize(counts[e.slotsID])
 		e.conns.Resize(counts[e.connsID])
 	}
 	for _, g := range v.regionList {
-		g.counter.Resize(counts[limit.OfRegion(g.name)])
+		n := counts[limit.OfRegion(g.name)]
+		lowered = lowered || n < g.counter.Share()
+		g.counter.Resize(n)
 	}
+	return lowered
+}
+
+// below reports whether a flow's share is less than the one before in any part.
+func below(a, before *rpc.Allotment) bool {
+	return a.GetRate() < before.GetRate() || a.GetBurst() < before.GetBurst()
 }
 
 // connect works out which endpoints are candidates of which service and how far they are.
