router: let 1,024 requests of a queue wait

After the loss of an entry VM its callers' requests wait at one other VM until the lease of the lost shares has lapsed.

--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -25,7 +25,7 @@
 	DefaultFreshness = 4 * time.Second
 	DefaultLifetime  = 5 * time.Second
 	DefaultExchange  = 200 * time.Millisecond
-	DefaultQueue     = 256
+	DefaultQueue     = 1024
 )
 
 // Router is the reducer of an entry VM; it is not safe for concurrent use.
