router: try the only endpoint again after an old connection broke

An idempotent request that broke on a reused connection was refused where its service had no other endpoint, although the break says little of the endpoint: an upstream that restarts or closes an idle connection causes it. Ended now says whether the connection was reused, and such a request may go to the same endpoint where no other one has a share, within the attempts and the budget of retries. Send.Again asks for a new connection then, because further idle ones are likely as old. A break of a new connection and a shed request are not repeated at the same endpoint.

The gateway has to set Reused and to obey Again; until then nothing changes.

--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -70,7 +70,8 @@
 	e.take(r.now)
 	q.state, q.endpoint, q.region = sent, e, e.region
 	q.sentAt = r.now
-	q.tried[q.attempt] = e
+	again := q.again && q.triedAt(e)
+	q.tried[q.attempt], q.again = e, false
 	q.attempt++
 	if q.attempt == 1 {
 		r.stats.Sent++
@@ -91,6 +92,7 @@
 		Once:        q.service.Once,
 		Body:        q.service.Body,
 		Linked:      e.region.out != nil || e.region.back != nil,
+		Again:       again,
 		Deadline:    q.deadline,
 	}
 	return append(out, &q.send)
@@ -108,7 +110,7 @@
 	start := min(s.start, len(s.endpoints))
 	for _, part := range [2][]*endpoint{s.endpoints[start:], s.endpoints[:start]} {
 		for _, e := range part {
-			if !e.free() || q.attempt > 0 && q.triedAt(e) || to != nil && !to.to(e) {
+			if !e.free() || q.excludes(e) || to != nil && !to.to(e) {
 				continue
 			}
 			if k := e.rank(r.now, lowest); k < lowest {
@@ -209,7 +211,9 @@
 	return r.refuse(q, notRun(fault.Upstream, "upstream", string(at.address), "upstream failed before it answered"), out)
 }
 
-// mayRetry reports whether another endpoint, of which this VM has a share, may get the request.
+// mayRetry reports whether another endpoint, of which this VM has a share, may
+// get the request. Where there is none, the same endpoint may get it again after
+// a break of a reused connection, which an upstream that restarted causes.
 func (r *Router) mayRetry(q *request, e *Ended) bool {
 	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(r.latestStart(q)) {
 		return false
@@ -219,5 +223,6 @@
 			return true
 		}
 	}
-	return false
+	q.again = e.Reused && (e.Outcome == Unsent || e.Outcome == Broken) && q.tried[q.attempt-1].slots.Share() > 0
+	return q.again
 }
--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -60,6 +60,7 @@
 	Attempt uint8 // copied from Send; 0 means the current attempt
 	Outcome Outcome
 	Fresh   bool
+	Reused  bool          // the connection had served an earlier request, so its end says little of the upstream
 	Elapsed time.Duration // from the send to the first byte of the answer
 }
 
@@ -126,6 +127,7 @@
 	Once        bool        // non-idempotent
 	Body        ident.Bytes // largest body
 	Linked      bool        // body bytes need Transfer first
+	Again       bool        // an earlier attempt broke on an old connection to this endpoint; use a new one
 	Deadline    time.Time
 }
 
--- a/entry/router/property_test.go
+++ b/entry/router/property_test.go
@@ -283,7 +283,7 @@
 	c.running = false
 	m.used[c.send.Endpoint]--
 	c.ran = c.ran || outcome == Broken
-	e := Ended{At: m.now, ID: id, Attempt: c.attempts, Outcome: outcome, Fresh: fresh}
+	e := Ended{At: m.now, ID: id, Attempt: c.attempts, Outcome: outcome, Fresh: fresh, Reused: id%2 == 0}
 	m.old = append(m.old, e)
 	m.step(&e)
 	if !c.ended && (outcome == Answered || outcome == Abandoned || outcome == Truncated || c.service.Once && outcome == Broken) {
--- a/entry/router/request.go
+++ b/entry/router/request.go
@@ -39,6 +39,7 @@
 	endpoint *endpoint // holds a slot there while sent
 	region   *region   // holds a place there while sent
 	ran      bool      // an earlier attempt may have run
+	again    bool      // the latest endpoint may be tried again
 
 	queue      *queue
 	prev, next *request
@@ -50,6 +51,11 @@
 	wait  Wait
 }
 
+// excludes reports whether an attempt at the endpoint is ruled out by earlier ones.
+func (q *request) excludes(e *endpoint) bool {
+	return q.attempt > 0 && q.triedAt(e) && !(q.again && e == q.tried[q.attempt-1])
+}
+
 func (q *request) triedAt(e *endpoint) bool {
 	for i := range q.attempt {
 		if q.tried[i] == e {
--- a/entry/router/route_test.go
+++ b/entry/router/route_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/limit"
 	"cuminfall.example/fleet/rpc"
@@ -270,3 +271,53 @@
 		})
 	}
 }
+
+// Guards against refusing an idempotent request whose only endpoint closed an
+// old connection, and against repeating one that the endpoint itself failed.
+func TestOnlyEndpointIsTriedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		ended  Ended
+		others int
+		again  bool
+		want   ident.Address // "" for a refusal
+	}{
+		{"reused connection broke", Ended{Outcome: Broken, Fresh: true, Reused: true}, 0, true, near},
+		{"reused connection took nothing", Ended{Outcome: Unsent, Fresh: true, Reused: true}, 0, true, near},
+		{"new connection broke", Ended{Outcome: Broken, Fresh: true}, 0, false, ""},
+		{"body is used up", Ended{Outcome: Broken, Reused: true}, 0, false, ""},
+		{"shed", Ended{Outcome: Shed, Fresh: true, Reused: true}, 0, false, ""},
+		{"another endpoint", Ended{Outcome: Broken, Fresh: true, Reused: true}, 1, false, "127.0.0.1:9"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPlant()
+			p.upstream("read", near, "a1", 1)
+			for range c.others {
+				p.upstream("read", "127.0.0.1:9", "a2", 1)
+			}
+			r := p.start(t)
+			is.Equal(sendOf(r.Step(read(1, epoch), nil)).Endpoint, ident.Address(near))
+			c.ended.At, c.ended.ID, c.ended.Attempt = epoch, 1, 1
+			out := r.Step(&c.ended, nil)
+			if c.want == "" {
+				is.True(refusal(out) != nil)
+				return
+			}
+			is.Equal(sendOf(out).Endpoint, c.want)
+			is.Equal(sendOf(out).Again, c.again)
+		})
+	}
+}
+
+// Guards against a second run of a non-idempotent request.
+func TestOnlyEndpointRunsOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPlant()
+	p.upstream("book", near, "a1", 1)
+	r := p.start(t)
+	r.Step(book(1, epoch), nil)
+	r.Step(&Claimed{At: epoch, ID: 1, State: rpc.ClaimState_CLAIM_STATE_GRANTED}, nil)
+	out := r.Step(&Ended{At: epoch, ID: 1, Attempt: 1, Outcome: Broken, Fresh: true, Reused: true}, nil)
+	is.Equal(refusal(out).Fault.Run, fault.Unknown)
+}
