router: rank by observed response times

The rank knew failures, distance and the load of the VM's own share. A slow but answering upstream kept its part of the work, and equal candidates were told apart by the load that upstreams report, which lags, stops or lies. Each endpoint now has a mean of the logarithms of its response times; where it is over 1.25 times that of its service, its load counts by the ratio, up to 8. Cold endpoints with slow first answers get less for the same reason. The ratio halves every 5 s without samples, so that a recovered endpoint is tried.

Ruled out: a class of its own above distance, which sends work to other regions for a cold cache.

--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -160,7 +160,7 @@
 	at.conns.Release()
 	q.region.counter.Release()
 	q.endpoint, q.region, q.state = nil, nil, 0
-	r.sample(q, e)
+	r.sample(q, at, e)
 	switch e.Outcome {
 	case Answered:
 		at.failures.succeeded()
--- a/entry/router/endpoint.go
+++ b/entry/router/endpoint.go
@@ -6,7 +6,6 @@
 
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/limit"
-	"cuminfall.example/fleet/rpc"
 )
 
 // distance orders endpoints by how far they are from this VM.
@@ -30,7 +29,6 @@
 	leaving     bool
 	suspected   bool
 	connLimited bool
-	reported    uint64 // load that it reports, in tieSteps of its slots
 
 	region   *region
 	distance distance
@@ -38,6 +36,8 @@
 	slots    limit.Counter
 	conns    limit.Counter
 	failures failures
+	speed    speed
+	slow     slowness
 	peak     float64 // decaying maximum of used slots, for demands
 	peakAt   time.Time
 }
@@ -52,17 +52,6 @@
 	return e
 }
 
-// tieSteps is the resolution of a reported load. Reports lag and may be
-// wrong, so they decide only between endpoints that are equal otherwise.
-const tieSteps = 15
-
-func reportedLoad(u *rpc.Upstream) uint64 {
-	if u.Slots == 0 || u.Load <= 0 {
-		return 0
-	}
-	return min(uint64(u.Load)*tieSteps/uint64(u.Slots), tieSteps)
-}
-
 // free reports whether one more request may run at the endpoint while the lease of the shares lives.
 func (e *endpoint) free() bool {
 	return e.slots.Used() < e.slots.Share() &&
@@ -98,8 +87,10 @@
 )
 
 // rank orders candidates, lowest first: active, few failures, near, lightly
-// loaded share, low reported load. The load is left out where the rest of the
-// rank is worse than that of the best candidate so far.
+// loaded share. The load counts the request to come, times how much slower the
+// endpoint answered than its service; loads that upstreams report lag or mislead
+// and are left out. The load is also left out where the rest of the rank is
+// worse than that of the best candidate so far.
 func (e *endpoint) rank(now time.Time, best uint64) uint64 {
 	k := e.base
 	if e.failures.score > 0 {
@@ -108,12 +99,16 @@
 	if k>>distanceShift > best>>distanceShift {
 		return k
 	}
-	return k | uint64(e.slots.Used())*loadSteps/uint64(e.slots.Share())<<loadShift
+	load := uint64(e.slots.Used()+1) * loadSteps / uint64(e.slots.Share())
+	if e.slow.ratio > leastSlow {
+		load = uint64(float64(load) * e.slow.factor(now))
+	}
+	return k | load<<loadShift
 }
 
 // setBase sets the part of the rank that changes only with the view.
 func (e *endpoint) setBase() {
-	e.base = uint64(e.distance)<<distanceShift | e.reported
+	e.base = uint64(e.distance) << distanceShift
 	if e.suspected {
 		e.base |= 1 << suspectedShift
 	}
--- a/entry/router/pace.go
+++ b/entry/router/pace.go
@@ -82,14 +82,19 @@
 }
 
 // sample notes the response time of an ended attempt.
-func (r *Router) sample(q *request, e *Ended) {
+func (r *Router) sample(q *request, at *endpoint, e *Ended) {
 	p := &q.service.pace
 	switch e.Outcome {
 	case Answered, Truncated:
 		if e.Elapsed > 0 {
 			p.observe(r.now, e.Elapsed)
+			at.observe(r.now, q.service, e.Elapsed)
 		}
 	case Broken, Abandoned:
-		p.exceed(r.now, r.now.Sub(q.sentAt))
+		took := r.now.Sub(q.sentAt)
+		p.exceed(r.now, took)
+		if s := &q.service.speed; s.known && math.Log(took.Seconds()) > s.log {
+			at.observe(r.now, q.service, took)
+		}
 	}
 }
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -65,6 +65,7 @@
 	waiting   int
 	start     int // rotates the order of equal candidates
 	pace      pace
+	speed     speed
 }
 
 type workspace struct {
@@ -335,7 +336,7 @@
 	for _, u := range v.upstreams {
 		e := v.endpoint(ident.Address(u.Address))
 		if e.incarnation != ident.Incarnation(u.Incarnation) {
-			e.failures = failures{}
+			e.failures, e.speed, e.slow = failures{}, speed{}, slowness{}
 		}
 		e.announced = true
 		e.service = ident.Service(u.Service)
@@ -343,7 +344,6 @@
 		e.incarnation = ident.Incarnation(u.Incarnation)
 		e.leaving, e.suspected = u.Leaving, u.Suspected
 		e.connLimited = u.Connections > 0
-		e.reported = reportedLoad(u)
 	}
 	live := v.endpointList[:0]
 	for _, e := range v.endpointList {
