router: let random events reach drains, shifts, links and region counts

The random test covered keys, slots and workspace rates; drains, shifts, links and region counts had table tests only. The model now also has control accept drains, capacities, links and shifts, moves body bytes, and checks each send and transfer against its own account of them.

--- a/entry/router/property_test.go
+++ b/entry/router/property_test.go
@@ -19,7 +19,7 @@
 // TestMain fixes the seed of property tests, so that every run gives the same
 // verdict; flags on the command line take precedence.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.steps": "100", "rapid.checks": "150", "rapid.nofailfile": "true", "rapid.shrinktime": "2s"} {
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.steps": "100", "rapid.checks": "250", "rapid.nofailfile": "true", "rapid.shrinktime": "2s"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -42,11 +42,13 @@
 	ended    bool
 }
 
-// spending checks one workspace against its share: every window within one
-// share and one lease has at most rate x t + burst sends.
+// spending checks one flow against its share: every window within one share
+// and one lease has at most rate x t + burst of it.
 type spending struct {
 	rate, burst float64
-	sends       []time.Time
+	times       []time.Time
+	amounts     []float64
+	total       float64
 	since       time.Time
 	empty       bool // began empty, after a lapse
 }
@@ -55,16 +57,17 @@
 	*s = spending{rate: rate, burst: burst, since: at, empty: empty}
 }
 
-func (s *spending) spend(t *rapid.T, at time.Time) {
-	s.sends = append(s.sends, at)
-	n := len(s.sends)
-	for i, first := range s.sends {
-		if float64(n-i) > s.burst+s.rate*at.Sub(first).Seconds()+1e-3 {
-			t.Fatalf("%d sends in %s exceed rate %g and burst %g", n-i, at.Sub(first), s.rate, s.burst)
+func (s *spending) spend(t *rapid.T, at time.Time, n float64) {
+	s.times, s.amounts, s.total = append(s.times, at), append(s.amounts, n), s.total+n
+	sum := 0.0
+	for i := len(s.times) - 1; i >= 0; i-- {
+		sum += s.amounts[i]
+		if window := at.Sub(s.times[i]); sum > s.burst+s.rate*window.Seconds()+1e-3 {
+			t.Fatalf("%g in %s exceed rate %g and burst %g", sum, window, s.rate, s.burst)
 		}
 	}
-	if s.empty && float64(n) > s.rate*at.Sub(s.since).Seconds()+1e-3 {
-		t.Fatalf("%d sends in %s after a lapse", n, at.Sub(s.since))
+	if s.empty && s.total > s.rate*at.Sub(s.since).Seconds()+1e-3 {
+		t.Fatalf("%g in %s after a lapse", s.total, at.Sub(s.since))
 	}
 }
 
@@ -90,6 +93,7 @@
 	old       []Ended
 	used      map[ident.Address]uint32
 	spendings map[ident.Workspace]*spending
+	ground    *ground
 
 	held   rpc.Versions // versions that the router must hold
 	keys   map[ident.KeyID]bool
@@ -115,12 +119,13 @@
 		courses: make(map[RequestID]*course), used: make(map[ident.Address]uint32),
 		spendings: map[ident.Workspace]*spending{"w0": {}, "w1": {}},
 		keys:      make(map[ident.KeyID]bool), slots: make(map[ident.Address]uint32),
-		flows: make(map[ident.Workspace]*rpc.Allotment),
+		flows: make(map[ident.Workspace]*rpc.Allotment), ground: newGround(),
 	}
 }
 
-func (m *model) step(e Event) {
-	for _, effect := range m.r.Step(e, nil) {
+func (m *model) step(e Event) []Effect {
+	out := m.r.Step(e, nil)
+	for _, effect := range out {
 		switch f := effect.(type) {
 		case *Send:
 			m.checkSend(*f)
@@ -136,10 +141,12 @@
 			m.end(f.ID)
 		}
 	}
+	m.checkShifts()
 	if n, ok := m.r.Next(); m.r.Waiting() > 0 && (!ok || !n.After(m.r.now)) {
 		m.t.Fatalf("requests wait, and the next tick is due at %v, %v", n, ok)
 	}
 	m.checkIdleCapacity()
+	return out
 }
 
 // checkIdleCapacity fails when a request waits although it could start.
@@ -199,7 +206,8 @@
 	case !m.now.Before(c.deadline):
 		m.t.Fatalf("request %d sent after its deadline", s.ID)
 	}
-	m.spendings[s.Workspace].spend(m.t, m.now)
+	m.spendings[s.Workspace].spend(m.t, m.now, 1)
+	m.checkPlace(s)
 	m.used[s.Endpoint]++
 	c.running, c.attempts, c.send = true, s.Attempt, s
 	m.running = append(m.running, s.ID)
@@ -282,6 +290,7 @@
 	c := m.courses[id]
 	c.running = false
 	m.used[c.send.Endpoint]--
+	m.ground.used[regionOf(m.upstreamAt(c.send.Endpoint).Domain)]--
 	c.ran = c.ran || outcome == Broken
 	e := Ended{At: m.now, ID: id, Attempt: c.attempts, Outcome: outcome, Fresh: fresh, Reused: id%2 == 0}
 	m.old = append(m.old, e)
@@ -360,6 +369,7 @@
 	got := d.reply.Versions
 	if d.reply.Config != nil && got.Config > m.held.Config {
 		m.held.Config = got.Config
+		m.readPlaces(d.reply.Config)
 		for _, s := range d.reply.Config.Sections {
 			if s.Name == string(document.WorkspacesSection) {
 				m.readKeys(s.Text)
@@ -369,6 +379,7 @@
 	if d.reply.Allotments != nil && got.Allotments > m.held.Allotments {
 		m.held.Allotments = got.Allotments
 		m.readShares(d.reply.Allotments.Allotments)
+		m.readPlaceShares(d.reply.Allotments.Allotments)
 	}
 	if got.Config == m.held.Config && m.held.Config > 0 && d.sent.After(m.proven) {
 		m.proven = d.sent
@@ -379,6 +390,7 @@
 			for w, s := range m.spendings {
 				s.begin(m.now, m.flows[w].GetRate(), m.flows[w].GetBurst(), true)
 			}
+			m.ground.lapse(m.now)
 		}
 		m.until = until
 	}
@@ -444,6 +456,7 @@
 			"claim more": m.answerClaim, "ended": m.endAttempt, "ended more": m.endAttempt,
 			"ended again": m.repeatEnded, "cancel": m.cancel, "change": m.change,
 			"exchange": m.exchange, "deliver": m.deliver, "deliver more": m.deliver, "deliver old": m.deliverOld,
+			"change places": m.changePlaces, "transfer": m.transfer, "transfer more": m.transfer,
 		})
 		m.settle()
 	})
