router: keep tokens for claims under way

A claim needed a token beside those of the claims under way, while an idempotent request took any token. One token is now kept for each request that claims or holds a claim, as far as the burst allows more than one. The next tick is due at the next whole token.

Ruled out: taking the token when the claim begins; it cannot be given back after a claim that is refused, because the bucket may have filled since.

--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -26,16 +26,12 @@
 		return started, r.refuse(q, r.expired(q), out)
 	}
 	w := q.workspace
+	if w.bucket.Tokens(r.now) < q.tokens() {
+		return noToken, out
+	}
 	if q.service.Once && !q.claimed {
-		// A claim needs a token of its own, so that claims do not outrun the rate.
-		if w.bucket.Tokens(r.now) < float64(1+w.claiming) {
-			return noToken, out
-		}
 		return started, r.beginClaim(q, out)
 	}
-	if w.bucket.Tokens(r.now) < 1 {
-		return noToken, out
-	}
 	e, s := r.choose(q)
 	if e == nil {
 		if q.attempt > 0 {
@@ -53,6 +49,22 @@
 	return started, r.dispatch(q, e, out)
 }
 
+// tokens returns how many tokens must be there for the request to go on. One
+// token is kept for each claim under way, so that claims do not outrun the rate
+// and so that idempotent requests, which need no claim, do not take the tokens
+// in the time that a claim takes.
+func (q *request) tokens() float64 {
+	w := q.workspace
+	kept := float64(w.claiming + w.promised)
+	switch {
+	case q.claimed:
+		return 1
+	case q.service.Once:
+		return 1 + kept
+	}
+	return math.Max(1, math.Min(1+kept, math.Floor(w.share.GetBurst())))
+}
+
 func (r *Router) beginClaim(q *request, out []Effect) []Effect {
 	r.unqueue(q)
 	q.state = claiming
--- a/entry/router/property_test.go
+++ b/entry/router/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -160,9 +161,11 @@
 			if s.Once && u.ahead.count >= mostAhead {
 				continue
 			}
-			need := 1.0
+			need, kept := 1.0, float64(u.workspace.claiming+u.workspace.promised)
 			if s.Once && !q.claimed {
-				need += float64(u.workspace.claiming)
+				need += kept
+			} else if !q.claimed {
+				need = max(1, min(1+kept, math.Floor(u.workspace.share.GetBurst())))
 			}
 			if u.workspace.bucket.Tokens(m.r.now) >= need && (s.Once && !q.claimed || m.r.pick(q, nil) != nil) {
 				m.t.Fatalf("request %d waits for %s although it could start", q.id, s.Name)
--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -78,6 +78,9 @@
 	} else {
 		u.waiting.push(q)
 	}
+	if q.claimed {
+		u.workspace.promised++
+	}
 	q.queue, q.state = u, queued
 	u.service.waiting++
 	u.workspace.waiting++
@@ -97,6 +100,9 @@
 	} else {
 		u.waiting.remove(q)
 	}
+	if q.claimed {
+		u.workspace.promised--
+	}
 	q.queue = nil
 	u.service.waiting--
 	u.workspace.waiting--
@@ -316,17 +322,14 @@
 	}
 }
 
-// nextToken returns when the first queue that lacks only a token gets one.
+// nextToken returns when the first workspace with waiting requests gets one more token.
 func (r *Router) nextToken() time.Time {
 	due := r.now.Add(time.Hour)
 	for _, w := range r.view.workspaceList {
 		if w.waiting == 0 {
 			continue
 		}
-		need := 1.0
-		if w.bucket.Tokens(r.now) >= 1 {
-			need += float64(w.claiming)
-		}
+		need := math.Floor(w.bucket.Tokens(r.now)) + 1
 		if delay, ok := w.bucket.Ready(r.now, need); ok && delay > 0 {
 			due = earlier(due, r.now.Add(delay))
 		}
--- a/entry/router/route_test.go
+++ b/entry/router/route_test.go
@@ -321,3 +321,52 @@
 	out := r.Step(&Ended{At: epoch, ID: 1, Attempt: 1, Outcome: Broken, Fresh: true, Reused: true}, nil)
 	is.Equal(refusal(out).Fault.Run, fault.Unknown)
 }
+
+// Guards against idempotent requests that take every token while claims are under way.
+func TestClaimsGetTheirPartOfTheTokens(t *testing.T) {
+	is := is.New(t)
+	p := newPlant()
+	p.lease = time.Hour
+	p.upstream("read", near, "a1", 1000)
+	p.upstream("book", beside, "a1", 1000)
+	p.share(limit.OfConnections(near), 0, 0, 1000)
+	p.share(limit.OfConnections(beside), 0, 0, 1000)
+	p.share(limit.OfWorkspace("w0"), 50, 10, 0)
+	r := p.start(t)
+	r.config.Freshness = time.Hour
+	sent := make(map[ident.Service]int)
+	claims := make(map[time.Time][]RequestID)
+	note := func(at time.Time, out []Effect) {
+		for _, e := range out {
+			switch f := e.(type) {
+			case *Send:
+				sent[f.Service]++
+			case *Claim:
+				end := at.Add(30 * time.Millisecond)
+				claims[end] = append(claims[end], f.ID)
+			}
+		}
+	}
+	for ms := range 20_000 {
+		at := epoch.Add(time.Duration(ms) * time.Millisecond)
+		for _, id := range claims[at] {
+			note(at, r.Step(&Claimed{At: at, ID: id, State: rpc.ClaimState_CLAIM_STATE_GRANTED}, nil))
+		}
+		if ms%20 == 0 {
+			e := read(RequestID(2*ms), at)
+			e.Deadline = at.Add(2 * time.Second)
+			note(at, r.Step(e, nil))
+		}
+		if ms%50 == 0 {
+			e := book(RequestID(2*ms+1), at)
+			e.Deadline = at.Add(2 * time.Second)
+			note(at, r.Step(e, nil))
+		}
+		if due, ok := r.Next(); ok && !due.After(at) {
+			note(at, r.Step(&Tick{At: at}, nil))
+		}
+	}
+	// Of 50 tokens a second, 20 requests a second need less than an equal part.
+	is.True(sent["book"] >= 380) // of 400
+	is.True(sent["read"]+sent["book"] >= 980)
+}
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -78,7 +78,8 @@
 	arrivals meter
 	queues   map[*service]*queue
 	waiting  int
-	claiming int
+	claiming int // requests that wait for the answer to a claim
+	promised int // requests with a claim that wait to be sent
 }
 
 type region struct {
