--- a/entry/router/request.go
+++ b/entry/router/request.go
@@ -13,6 +13,7 @@
 	queued   state = iota + 1 // waits for a token or a slot
 	claiming                  // waits for control's answer to Claim
 	sent                      // an attempt is at an upstream
+	unproven                  // waits for an exchange, because its key is unknown
 )
 
 // mostAttempts is the first attempt and two retries.
@@ -26,6 +27,10 @@
 	key       ident.KeyID
 	hash      KeyHash
 	deadline  time.Time
+	arrivedAt time.Time
+	timeout   time.Duration // that the caller gave
+	latest    time.Time     // when it must be sent, as last worked out
+	sentAt    time.Time     // of the running attempt
 	state     state
 	claimed   bool // the right to run a non-idempotent request is held
 
@@ -34,6 +39,7 @@
 	endpoint *endpoint // holds a slot there while sent
 	region   *region   // holds a place there while sent
 	ran      bool      // an earlier attempt may have run
+	again    bool      // the latest endpoint may be tried again
 
 	queue      *queue
 	prev, next *request
@@ -45,6 +51,11 @@
 	wait  Wait
 }
 
+// excludes reports whether an attempt at the endpoint is ruled out by earlier ones.
+func (q *request) excludes(e *endpoint) bool {
+	return q.attempt > 0 && q.triedAt(e) && !(q.again && e == q.tried[q.attempt-1])
+}
+
 func (q *request) triedAt(e *endpoint) bool {
 	for i := range q.attempt {
 		if q.tried[i] == e {
@@ -90,6 +101,7 @@
 func (r *Router) release(q *request) {
 	r.unqueue(q)
 	r.unclaim(q)
+	r.forget(q)
 	r.timers.remove(q)
 	delete(r.requests, q.id)
 	r.idle.put(q)
@@ -103,7 +115,7 @@
 	}
 }
 
-// deadlines is a binary heap of the requests that are not at an upstream, earliest deadline first.
+// deadlines is a binary heap of the requests that are not at an upstream, earliest latest start first.
 type deadlines struct {
 	heap []*request
 }
@@ -148,7 +160,7 @@
 func (d *deadlines) up(i int) {
 	for i > 0 {
 		parent := (i - 1) / 2
-		if !d.heap[i].deadline.Before(d.heap[parent].deadline) {
+		if !d.heap[i].latest.Before(d.heap[parent].latest) {
 			return
 		}
 		d.swap(i, parent)
@@ -160,7 +172,7 @@
 	for {
 		least := i
 		for child := 2*i + 1; child <= 2*i+2 && child < len(d.heap); child++ {
-			if d.heap[child].deadline.Before(d.heap[least].deadline) {
+			if d.heap[child].latest.Before(d.heap[least].latest) {
 				least = child
 			}
 		}
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -25,7 +25,7 @@
 	DefaultFreshness = 4 * time.Second
 	DefaultLifetime  = 5 * time.Second
 	DefaultExchange  = 200 * time.Millisecond
-	DefaultQueue     = 256
+	DefaultQueue     = 1024
 )
 
 // Router is the reducer of an entry VM; it is not safe for concurrent use.
@@ -40,10 +40,12 @@
 	timers   deadlines
 	turn     int // rotates the service that is served first
 	waiting  int
-	due      time.Time // when a waiting request gets a token or the view becomes stale
+	unproven []*request // with unknown keys, in order of arrival
+	due      time.Time  // when a waiting request gets a token or the view becomes stale
 
 	budget   float64   // retries that may still be made
 	asked    time.Time // of the last Ask
+	askedKey time.Time // of the last Ask for an unknown key
 	stopping bool
 	ask      Ask
 	rejected []rejection // reused by sweep
@@ -135,18 +137,15 @@
 	return at.Sub(r.view.proven), !r.view.proven.IsZero()
 }
 
-// Held returns the versions for the next session exchange. The version of the
-// allotments is confirmed only when no count is above its share, because
-// control lends the difference to others as soon as it is confirmed.
+// Held returns the versions for the next session exchange. Demands of the same
+// moment belong to it: control lowers the ceiling of a count to what this
+// version allows or to what the demand has in use, whichever is more.
 func (r *Router) Held() *rpc.Versions {
-	if r.view.withinShares() {
-		r.view.confirmed = r.view.allotments
-	}
 	return &rpc.Versions{
 		Config:     r.view.config,
 		Registry:   r.view.registry,
 		Members:    r.view.members,
-		Allotments: r.view.confirmed,
+		Allotments: r.view.allotments,
 	}
 }
 
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -21,7 +21,6 @@
 	registry   uint64
 	members    uint64
 	allotments uint64
-	confirmed  uint64 // allotments that control may count on
 
 	revisions map[document.Section]ident.Revision
 	document  document.Document
@@ -65,6 +64,8 @@
 	credited  bool     // that queue has got its quantum
 	waiting   int
 	start     int // rotates the order of equal candidates
+	pace      pace
+	speed     speed
 }
 
 type workspace struct {
@@ -77,7 +78,8 @@
 	arrivals meter
 	queues   map[*service]*queue
 	waiting  int
-	claiming int
+	claiming int // requests that wait for the answer to a claim
+	promised int // requests with a claim that wait to be sent
 }
 
 type region struct {
@@ -121,7 +123,7 @@
 		return r.pumpAll(out)
 	}
 	v, reply, got := &r.view, e.Reply, e.Reply.Versions
-	changed := false
+	changed, lowered := false, false
 	if reply.Config != nil && r.newer(got.Config, v.config) && r.applyConfig(reply.Config) {
 		v.config, changed = got.Config, true
 	}
@@ -136,7 +138,7 @@
 	until := e.Sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond)
 	if reply.Allotments != nil && r.newer(got.Allotments, v.allotments) {
 		v.allotments = got.Allotments
-		r.applyAllotments(reply.Allotments.Allotments)
+		lowered = r.applyAllotments(reply.Allotments.Allotments)
 	}
 	if got.Allotments == v.allotments && got.Allotments > 0 {
 		r.renew(until)
@@ -149,6 +151,10 @@
 	if got.Config == v.config && v.config > 0 && e.Sent.After(v.proven) {
 		v.proven = e.Sent
 	}
+	out = r.prove(out)
+	if lowered {
+		out = r.askNow(out) // others wait for the confirmation
+	}
 	return r.pumpAll(out)
 }
 
@@ -331,7 +337,7 @@
 	for _, u := range v.upstreams {
 		e := v.endpoint(ident.Address(u.Address))
 		if e.incarnation != ident.Incarnation(u.Incarnation) {
-			e.failures = failures{}
+			e.failures, e.speed, e.slow = failures{}, speed{}, slowness{}
 		}
 		e.announced = true
 		e.service = ident.Service(u.Service)
@@ -339,7 +345,6 @@
 		e.incarnation = ident.Incarnation(u.Incarnation)
 		e.leaving, e.suspected = u.Leaving, u.Suspected
 		e.connLimited = u.Connections > 0
-		e.reported = reportedLoad(u)
 	}
 	live := v.endpointList[:0]
 	for _, e := range v.endpointList {
@@ -353,8 +358,8 @@
 	v.endpointList = live
 }
 
-// applyAllotments sets every share; a limit that is not listed has none.
-func (r *Router) applyAllotments(list []*rpc.Allotment) {
+// applyAllotments sets every share and reports whether one was lowered; a limit that is not listed has none.
+func (r *Router) applyAllotments(list []*rpc.Allotment) (lowered bool) {
 	v := &r.view
 	flows := make(map[ident.Limit]*rpc.Allotment)
 	counts := make(map[ident.Limit]uint32)
@@ -381,11 +386,14 @@
 	}
 	for _, w := range v.workspaceList {
 		a := flows[limit.OfWorkspace(w.name)]
+		lowered = lowered || below(a, w.share)
 		w.share = a
 		w.bucket.Resize(r.now, a.GetRate(), a.GetBurst())
 	}
 	for _, l := range v.linkList {
-		l.share = flows[l.id]
+		a := flows[l.id]
+		lowered = lowered || below(a, l.share)
+		l.share = a
 		l.bucket.Resize(r.now, l.share.GetRate(), l.share.GetBurst())
 	}
 	for _, s := range v.shiftList {
@@ -393,27 +401,21 @@
 		s.bucket.Resize(r.now, a.GetRate(), a.GetBurst())
 	}
 	for _, e := range v.endpointList {
+		lowered = lowered || counts[e.slotsID] < e.slots.Share()
 		e.slots.Resize(counts[e.slotsID])
 		e.conns.Resize(counts[e.connsID])
 	}
 	for _, g := range v.regionList {
-		g.counter.Resize(counts[limit.OfRegion(g.name)])
+		n := counts[limit.OfRegion(g.name)]
+		lowered = lowered || n < g.counter.Share()
+		g.counter.Resize(n)
 	}
+	return lowered
 }
 
-// withinShares reports whether every count is within its share.
-func (v *view) withinShares() bool {
-	for _, e := range v.endpointList {
-		if e.slots.Used() > e.slots.Share() || e.connLimited && e.conns.Used() > e.conns.Share() {
-			return false
-		}
-	}
-	for _, g := range v.regionList {
-		if g.limited && g.counter.Used() > g.counter.Share() {
-			return false
-		}
-	}
-	return true
+// below reports whether a flow's share is less than the one before in any part.
+func below(a, before *rpc.Allotment) bool {
+	return a.GetRate() < before.GetRate() || a.GetBurst() < before.GetBurst()
 }
 
 // connect works out which endpoints are candidates of which service and how far they are.
