scenario: add scenarios of shifts, regions, answers, refusals and silence

The record is read in one page, since runs of a later page were compared with the earlier state of those before. A connection counts as reached when the transport had one: net/http repeats a request with an Idempotency-Key by itself, so that a failure to connect can follow a sent attempt (seen in once_crash, which failed without a fault of the programs).

--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,7 +16,9 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/load/relay"
+	"cuminfall.example/load/upstream"
 )
 
 // Last octets and ports of a script's network.
@@ -54,6 +55,7 @@
 	fronts   map[string]*relay.Front
 	traffics map[string]*traffic
 	client   *http.Client
+	before   map[ident.Address]upstream.Status // at the last check of the record
 }
 
 func newFleet(dir string, net int) *fleet {
@@ -91,7 +93,7 @@
 		return err
 	}
 	for i := 1; i <= 3; i++ {
-		if err := f.add("control", i, firstControl+i, fmt.Sprintf("data = %q\npeers = %s\n", filepath.Join(f.dir, fmt.Sprintf("control%d", i)), quote(f.controls()))); err != nil {
+		if err := f.add("control", i, firstControl+i, fmt.Sprintf("data = %q\npeers = %s\n%s", filepath.Join(f.dir, fmt.Sprintf("control%d", i)), quote(f.controls()), p["control"])); err != nil {
 			return err
 		}
 	}
@@ -364,6 +366,3 @@
 	}
 	return list, nil
 }
-
-// asOp reports whether a network operation's error is within err.
-func asOp(err error, op **net.OpError) bool { return errors.As(err, op) }
--- a/scenario/leader_test.go
+++ b/scenario/leader_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rogpeppe/go-internal/testscript"
 
 	"cuminfall.example/cuminfall/client"
 	"cuminfall.example/fleet/clock"
@@ -30,6 +31,13 @@
 	return "", errors.New("no member leads")
 }
 
+// cmdLeader awaits a leading control member and sets a variable to its name: leader NAME.
+func cmdLeader(ts *testscript.TestScript, _ bool, args []string) {
+	name, err := fleetOf(ts).leader()
+	ts.Check(err)
+	ts.Setenv(args[0], name)
+}
+
 // onLeader does one thing to the leader, waits and undoes it.
 func (f *fleet) onLeader(span time.Duration, do, undo func(*fleet, string) error) error {
 	name, err := f.leader()
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -63,6 +63,7 @@
 	"sleep":    cmdSleep,
 	"changes":  cmdChanges,
 	"idle":     cmdIdle,
+	"leader":   cmdLeader,
 }
 
 func TestScenarios(t *testing.T) {
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -6,8 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
+	"math"
 	"net/http"
+	"net/http/httptrace"
 	"sort"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
 	load "cuminfall.example/load/answer"
 	"cuminfall.example/load/report"
 	"cuminfall.example/load/upstream"
@@ -66,12 +68,13 @@
 }
 
 func (f *fleet) sendWith(client *http.Client, p params) (a answer) {
+	var reached atomic.Bool
 	a = answer{request: fmt.Sprintf("s%d", requests.Add(1))}
 	if id := p["request"]; id != "" {
 		a.request = id
 	}
 	limit := p.span("timeout", 5*time.Second)
-	ctx, cancel := context.WithTimeout(context.Background(), limit+2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), p.span("cancel", limit+2*time.Second))
 	defer cancel()
 	method := p.text("method", http.MethodGet)
 	var body io.Reader
@@ -101,17 +104,17 @@
 	if name, value, ok := strings.Cut(p["header"], ":"); ok {
 		r.Header.Add(name, value)
 	}
+	// The transport itself repeats a request with an Idempotency-Key, so that a
+	// failure to connect may follow an attempt that was sent.
+	r = r.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}))
 	began := time.Now()
-	defer func() { a.span = time.Since(began) }()
+	defer func() { a.span, a.reached = time.Since(began), reached.Load() }()
 	reply, err := client.Do(r)
 	if err != nil {
 		a.err = err
-		var op *net.OpError
-		a.reached = !(asOp(err, &op) && op.Op == "dial")
 		return a
 	}
 	defer reply.Body.Close()
-	a.reached = true
 	text, err := io.ReadAll(reply.Body)
 	a.err = err
 	if err != nil {
@@ -204,7 +207,7 @@
 	go func() {
 		defer t.done.Done()
 		began := time.Now()
-		for i := 0; ; i++ {
+		for i := 0; i < t.params.count("most", math.MaxInt); i++ {
 			select {
 			case <-t.stop:
 				return
@@ -269,7 +272,8 @@
 	return list
 }
 
-// tally counts answers: all, ok, notrun, unknown, failed, broken, each refusal code, and the slowest in milliseconds.
+// tally counts answers: all, ok, notrun, unknown, failed, broken, each refusal code, crossed (a whole
+// answer that is not to its request), and the slowest in milliseconds.
 func (t *traffic) tally() map[string]int {
 	c := map[string]int{"all": len(t.answers)}
 	for _, a := range t.answers {
@@ -279,6 +283,9 @@
 		switch {
 		case a.status == http.StatusOK:
 			c["ok"]++
+			if !strings.Contains(a.body, `"request":"`+a.request+`"`) {
+				c["crossed"]++
+			}
 		case a.run == fault.NotRun:
 			c["notrun"]++
 		case a.run == fault.Unknown:
@@ -316,6 +323,10 @@
 	}
 }
 
+// pageSize is the number of runs that are read at one moment; later pages
+// would show later runs beside the earlier ones' former state.
+const pageSize = 100_000
+
 // record returns all runs of the stand-in upstreams.
 func (f *fleet) record() ([]upstream.Run, error) {
 	var all []upstream.Run
@@ -324,7 +335,7 @@
 		if len(all) > 0 {
 			last = all[len(all)-1].Number
 		}
-		reply, err := f.client.Get(fmt.Sprintf("http://%s:%d/v1/runs?after=%d", f.host(upstreamHost), adminPort, last))
+		reply, err := f.client.Get(fmt.Sprintf("http://%s:%d/v1/runs?most=%d&after=%d", f.host(upstreamHost), adminPort, pageSize, last))
 		if err != nil {
 			return nil, err
 		}
@@ -334,22 +345,64 @@
 		if err != nil {
 			return nil, err
 		}
-		if len(page.Runs) == 0 {
+		all = append(all, page.Runs...)
+		if len(page.Runs) < pageSize {
 			return all, nil
 		}
-		all = append(all, page.Runs...)
 	}
 }
 
+// endpoints returns the stand-in endpoints.
+func (f *fleet) endpoints() (map[ident.Address]upstream.Status, error) {
+	reply, err := f.client.Get(fmt.Sprintf("http://%s:%d/v1/endpoints", f.host(upstreamHost), adminPort))
+	if err != nil {
+		return nil, err
+	}
+	defer reply.Body.Close()
+	var list []upstream.Status
+	err = json.NewDecoder(reply.Body).Decode(&list)
+	endpoints := map[ident.Address]upstream.Status{}
+	for _, e := range list {
+		endpoints[e.Address] = e
+	}
+	return endpoints, err
+}
+
+// together returns the most runs at the same time.
+func together(runs []upstream.Run) int {
+	var starts, ends []time.Time
+	for _, r := range runs {
+		starts = append(starts, r.Start)
+		if !r.End.IsZero() {
+			ends = append(ends, r.End)
+		}
+	}
+	sort.Slice(starts, func(i, j int) bool { return starts[i].Before(starts[j]) })
+	sort.Slice(ends, func(i, j int) bool { return ends[i].Before(ends[j]) })
+	most, ended := 0, 0
+	for i, at := range starts {
+		for ended < len(ends) && !ends[ended].After(at) {
+			ended++
+		}
+		most = max(most, i+1-ended)
+	}
+	return most
+}
+
 // cmdRuns compares the stand-ins' record with the answers. It always checks
 // that no run saw a key, that each idempotency key ran once and that no request
-// answered "not run" ran. Further rules: rate=R burst=B workspace=W for every
-// window, none=ID and one=ID for the runs of an idempotency key.
+// answered "not run" ran. Further rules: rate=R burst=B for every window, over
+// the runs with workspace=W or in region=R; capacity=N for the runs of each
+// region at the same time; over=N for the arrivals at an endpoint without a free
+// slot since the last check; least=N for the runs of W or R; none=ID and one=ID for the runs of an idempotency key.
 func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
 	f := fleetOf(ts)
 	p := parse(ts, args)
 	runs, err := f.record()
 	ts.Check(err)
+	endpoints, err := f.endpoints()
+	ts.Check(err)
+	byRegion := map[string][]upstream.Run{}
 	byRequest := map[string]int{}
 	once := map[string]int{}
 	var starts []time.Time
@@ -361,7 +414,13 @@
 		if r.Idempotency != "" {
 			once[r.Idempotency]++
 		}
-		if string(r.Workspace) == p["workspace"] {
+		e := endpoints[r.Endpoint]
+		region := string(e.Domain[:len(e.Domain)-2])
+		// A kill ends its runs at once; the stand-in notes their ends later.
+		if r.Outcome != upstream.Cancelled || e.Up && r.Incarnation == e.Incarnation {
+			byRegion[region] = append(byRegion[region], r)
+		}
+		if string(r.Workspace) == p["workspace"] || region == p["region"] {
 			starts = append(starts, r.Start)
 		}
 	}
@@ -383,12 +442,29 @@
 	if id := p["one"]; id != "" && once[id] != 1 {
 		ts.Fatalf("%s ran %d times, want one", id, once[id])
 	}
+	for region, list := range byRegion {
+		most := together(list)
+		ts.Logf("%s: %d runs, most at the same time %d", region, len(list), most)
+		if p["capacity"] != "" && most > p.count("capacity", 0) {
+			ts.Fatalf("%s: %d runs at the same time, capacity %s", region, most, p["capacity"])
+		}
+	}
+	for address, e := range endpoints {
+		n := int(e.Counts.Over - f.before[address].Counts.Over)
+		if p["over"] != "" && n > p.count("over", 0) {
+			ts.Fatalf("%s: %d arrivals without a free slot, allowed %s", address, n, p["over"])
+		}
+	}
+	f.before = endpoints
+	if len(starts) < p.count("least", 0) {
+		ts.Fatalf("%s%s: %d runs, want at least %s", p["workspace"], p["region"], len(starts), p["least"])
+	}
 	if p["rate"] != "" {
 		sort.Slice(starts, func(i, j int) bool { return starts[i].Before(starts[j]) })
 		need := report.Need(float64(p.count("rate", 0)), starts)
-		ts.Logf("%d runs of %s; the windows need a burst of %.1f", len(starts), p["workspace"], need)
+		ts.Logf("%d runs of %s%s; the windows need a burst of %.1f", len(starts), p["workspace"], p["region"], need)
 		if need > float64(p.count("burst", 0)) {
-			ts.Fatalf("%s: some window needs a burst of %.1f over %s/s, allowed %s", p["workspace"], need, p["rate"], p["burst"])
+			ts.Fatalf("%s%s: some window needs a burst of %.1f over %s/s, allowed %s", p["workspace"], p["region"], need, p["rate"], p["burst"])
 		}
 	}
 	ts.Logf("%d runs", len(runs))
