--- a/load/baseline/baseline.go
+++ b/load/baseline/baseline.go
@@ -35,7 +35,8 @@
 	name    string
 	vms     int
 	clock   clock.Clock
-	client  *http.Client
+	client  *http.Client // of load reports
+	clients map[netip.Addr]*http.Client
 	targets map[ident.Service][]*target
 
 	mu      sync.Mutex
@@ -63,6 +64,7 @@
 func New(name string, endpoints []upstream.Status, vms int, c clock.Clock, seed uint64) *Dispatcher {
 	d := &Dispatcher{
 		name: name, vms: vms, clock: c, client: &http.Client{Transport: caller.NewTransport(netip.Addr{})},
+		clients: make(map[netip.Addr]*http.Client),
 		targets: make(map[ident.Service][]*target), turn: make(map[ident.Service]int),
 		buckets: make(map[bucketName]*bucket), random: rand.New(rand.NewPCG(seed, 3)),
 	}
@@ -81,13 +83,14 @@
 	if !ok || clock.Sleep(ctx, d.clock, wait) != nil {
 		return caller.Result{Kind: report.Refused, Code: fault.Rate, Run: fault.NotRun, Attempts: 1}
 	}
+	client := d.clientOf(r)
 	var result caller.Result
 	for n := range attempts {
 		to, ok := d.choose(r.Service.Name)
 		if !ok {
 			return caller.Result{Kind: report.Refused, Code: fault.NotFound, Run: fault.NotRun, Attempts: 1}
 		}
-		result = caller.SendDirect(ctx, d.client, d.clock, to, r, n+1)
+		result = caller.SendDirect(ctx, client, d.clock, to, r, n+1)
 		if result.Run != fault.NotRun || ctx.Err() != nil {
 			break
 		}
@@ -95,6 +98,21 @@
 	return result
 }
 
+// clientOf returns a client that dials from the caller's address, so that the
+// stand-ins add the latency from the caller's region.
+func (d *Dispatcher) clientOf(r *caller.Request) *http.Client {
+	if len(r.Workspace.Sources) == 0 {
+		return d.client
+	}
+	source := r.Workspace.Sources[r.Source]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.clients[source] == nil {
+		d.clients[source] = &http.Client{Transport: caller.NewTransport(source)}
+	}
+	return d.clients[source]
+}
+
 // admit spends a token of the workspace, and returns how long the request has to wait for it.
 // A request that could not get one before its deadline spends nothing.
 func (d *Dispatcher) admit(ctx context.Context, r *caller.Request) (time.Duration, bool) {
--- a/load/deployment/command.go
+++ b/load/deployment/command.go
@@ -18,6 +18,7 @@
 	Entries    string
 	Control    string
 	Admin      string
+	Host       string
 	Port       int
 }
 
@@ -36,6 +37,7 @@
 	set.StringVar(&o.Entries, "entries", "", "comma-separated addresses of entry VMs")
 	set.StringVar(&o.Control, "control", "", "comma-separated addresses of control members")
 	set.StringVar(&o.Admin, "admin", "127.0.0.1:7900", "admin address of the stand-ins")
+	set.StringVar(&o.Host, "host", "127.0.0.1", "address of the stand-ins")
 	set.IntVar(&o.Port, "port", 19000, "first port of the stand-ins")
 	if err := command.Parse(set, args, "deployment", "folder"); err != nil {
 		return err
@@ -70,7 +72,7 @@
 		return fault.Wrap(err, fault.Internal, "make folder", o.Folder)
 	}
 	entries := split(o.Entries)
-	stands := shape.Upstream(o.Admin, entries, o.Port)
+	stands := shape.Upstream(o.Admin, entries, o.Host, o.Port)
 	calls := shape.Caller(entries, []string{o.Admin}, stands.Endpoints)
 	experiment := &experimentFile{Control: split(o.Control), Operator: Operator, Credential: Credential, Call: calls}
 	for _, file := range []struct {
--- a/load/deployment/deployment.go
+++ b/load/deployment/deployment.go
@@ -58,6 +58,24 @@
 	return total
 }
 
+// regionPart is the part of a region's slots that the region can serve at once: design.md states no
+// capacity, and one below the slots makes it a limit of its own.
+const regionPart = 0.9
+
+// RegionCapacity returns the requests that may run in the region at the same time.
+func (d *Shape) RegionCapacity(r ident.Region) ident.Slots {
+	domains := d.Domains()
+	total := 0
+	for i := range d.Services {
+		for k := range d.Services[i].Endpoints {
+			if d.RegionOf(domains[k%len(domains)]) == r {
+				total += int(d.Services[i].Slots)
+			}
+		}
+	}
+	return ident.Slots(regionPart * float64(total))
+}
+
 // Domains returns the failure domains, two for each region.
 func (d *Shape) Domains() []ident.Domain {
 	var list []ident.Domain
--- a/load/deployment/files.go
+++ b/load/deployment/files.go
@@ -46,10 +46,8 @@
 func (d *Shape) Sections() map[document.Section]document.Part {
 	places := &document.Places{}
 	for i, r := range d.Regions {
-		places.Regions = append(places.Regions, document.Region{Name: r})
-		// Callers of region n have addresses in 127.0.(10+n).0/24.
-		prefix := netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 0, byte(10 + i), 0}), 24)
-		places.Blocks = append(places.Blocks, document.Block{Prefix: prefix, Region: r})
+		places.Regions = append(places.Regions, document.Region{Name: r, Capacity: d.RegionCapacity(r)})
+		places.Blocks = append(places.Blocks, document.Block{Prefix: callers(i), Region: r})
 		for _, to := range d.Regions {
 			if to != r {
 				places.Links = append(places.Links, document.Link{From: r, To: to, Rate: d.Link})
@@ -81,6 +79,42 @@
 	}
 }
 
+// callers returns the address range of the callers of region n: 127.0.(10+n).0/24.
+func callers(n int) netip.Prefix {
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 0, byte(10 + n), 0}), 24)
+}
+
+// vms returns the address range of the entry VMs of failure domain n: 127.71.(1+n).0/24.
+func vms(n int) netip.Prefix {
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 71, byte(1 + n), 0}), 24)
+}
+
+// links gives the latency between each failure domain and the entry VMs of all others.
+// Baselines have no entry VMs; a request of theirs comes from its caller's region.
+func (d *Shape) links() []upstream.LinkSettings {
+	var list []upstream.LinkSettings
+	for _, to := range d.Domains() {
+		for i, from := range d.Domains() {
+			latency := d.Far
+			switch {
+			case from == to:
+				latency = 0
+			case d.RegionOf(from) == d.RegionOf(to):
+				latency = d.Near
+			}
+			list = append(list, upstream.LinkSettings{Domain: to, Prefix: vms(i), Latency: latency})
+		}
+		for i, from := range d.Regions {
+			latency := d.Far
+			if from == d.RegionOf(to) {
+				latency = d.Near
+			}
+			list = append(list, upstream.LinkSettings{Domain: to, Prefix: callers(i), Latency: latency})
+		}
+	}
+	return list
+}
+
 func (d *Shape) workspaces() []caller.Workspace {
 	mix := make(map[ident.Service]float64)
 	for i := range d.Services {
@@ -98,18 +132,19 @@
 	return list
 }
 
-// Upstream returns the settings of one process with all endpoints, on ports from port on.
-func (d *Shape) Upstream(admin string, entries []string, port int) *upstream.Settings {
+// Upstream returns the settings of one process with all endpoints, on the host's ports from port on.
+func (d *Shape) Upstream(admin string, entries []string, host string, port int) *upstream.Settings {
 	s := upstream.Defaults()
 	s.Admin = admin
 	s.Entries = entries
+	s.Links = d.links()
 	domains := d.Domains()
 	n := 0
 	for i := range d.Services {
 		for k := range d.Services[i].Endpoints {
 			one := &d.Services[i]
 			s.Endpoints = append(s.Endpoints, upstream.EndpointSettings{
-				Service: one.Name, Address: ident.Address(fmt.Sprintf("127.0.0.1:%d", port+n)), Domain: domains[k%len(domains)],
+				Service: one.Name, Address: ident.Address(fmt.Sprintf("%s:%d", host, port+n)), Domain: domains[k%len(domains)],
 				Slots: one.Slots, Connections: d.Connections, Queue: int(one.Slots) * 4, Patience: one.Median * 4,
 				Times: "lognormal", Median: one.Median, Spread: spread, Latency: d.Near,
 				Cache: 200, Miss: 2, Slow: 1, Answer: one.Answer,
--- a/load/experiment/command.go
+++ b/load/experiment/command.go
@@ -1,9 +1,12 @@
 package experiment
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -14,6 +17,7 @@
 	"cuminfall.example/load/caller"
 	"cuminfall.example/load/command"
 	"cuminfall.example/load/deployment"
+	"cuminfall.example/load/report"
 )
 
 // Options are the flags of load experiment.
@@ -22,6 +26,7 @@
 	Settings   string
 	Deployment string
 	Path       string
+	Samples    string
 	Seed       uint64
 	Short      bool
 	JSON       bool
@@ -46,6 +51,7 @@
 	set.StringVar(&o.Settings, "settings", "", "TOML `file` with the addresses of the processes")
 	set.StringVar(&o.Deployment, "deployment", "", "revontuli or emberdeck")
 	set.StringVar(&o.Path, "path", throughEntry, "entry, or a baseline: "+strings.Join(baseline.Names, ", "))
+	set.StringVar(&o.Samples, "samples", "", "write each request that was not answered to this `file`, one JSON object a line")
 	set.Uint64Var(&o.Seed, "seed", 1, "seed of the arrivals")
 	set.BoolVar(&o.Short, "short", false, "ten seconds in place of 38")
 	set.BoolVar(&o.JSON, "json", false, "write the report as JSON")
@@ -95,12 +101,30 @@
 	if restoreErr := r.restore(); err == nil {
 		err = restoreErr
 	}
+	if err == nil && o.Samples != "" {
+		err = writeFailures(o.Samples, r.samples)
+	}
 	if err != nil {
 		return err
 	}
 	return out.Print(c.Out, o.JSON)
 }
 
+// writeFailures writes the samples of requests that got no answer.
+func writeFailures(path string, samples []report.Sample) error {
+	var b bytes.Buffer
+	encoder := json.NewEncoder(&b)
+	for i := range samples {
+		if samples[i].Kind == report.Answered {
+			continue
+		}
+		if err := encoder.Encode(&samples[i]); err != nil {
+			return fault.Wrap(err, fault.Internal, "write samples", path)
+		}
+	}
+	return fault.Wrap(os.WriteFile(path, b.Bytes(), 0o644), fault.Internal, "write samples", path)
+}
+
 func (o *Options) check(e Experiment) error {
 	if o.Path == throughEntry {
 		return nil
--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -35,7 +35,7 @@
 		},
 		Workspaces: []deployment.Workspace{{Name: "big", Part: 0.7}, {Name: "little", Part: 0.1}},
 	}
-	stands := shape.Upstream("127.0.0.1:0", nil, 0)
+	stands := shape.Upstream("127.0.0.1:0", nil, "127.0.0.1", 0)
 	for i := range stands.Endpoints {
 		stands.Endpoints[i].Address = "127.0.0.1:0"
 		stands.Endpoints[i].Cache = 0
@@ -216,7 +216,7 @@
 			is := is.New(t)
 			shape, err := deployment.Find(name)
 			is.NoErr(err)
-			stands := shape.Upstream("127.0.0.1:7900", []string{"127.0.0.1:8001"}, 19000)
+			stands := shape.Upstream("127.0.0.1:7900", []string{"127.0.0.1:8001"}, "127.0.0.1", 19000)
 			calls := shape.Caller([]string{"127.0.0.1:8001"}, nil, stands.Endpoints)
 			text, err := deployment.Encode(stands)
 			is.NoErr(err)
