load: measure when changes are in force, and check region capacity

The experiments report the most of a region's capacity that was in use at one moment by the stand-ins' record.

--- a/load/experiment/figures.go
+++ b/load/experiment/figures.go
@@ -20,11 +20,29 @@
 		r.figure("least headroom of a domain", r.watch.domain.least, "of slots, over 5 s, at "+r.watch.domain.where, "")
 	}
 	r.figure("p99", float64(r.report.Total.P99)/float64(time.Millisecond), "ms", "")
+	part, where := r.regionUse()
+	r.figure("most of a region's capacity", part, "of the runs it may have at once, at "+string(where), "at most 1")
 	if r.watch.linked {
 		r.figure("most of a link", r.watch.link, "of its rate, over 1 s", "at most 1")
 	}
 }
 
+// regionUse returns the most of a region's capacity that was in use at one moment, by the stand-ins' record.
+func (r *run) regionUse() (float64, ident.Region) {
+	regions := make(map[ident.Address]ident.Region)
+	for _, e := range r.where {
+		regions[e.Address] = r.shape.RegionOf(e.Domain)
+	}
+	most, where := 0.0, ident.Region("")
+	for _, region := range r.shape.Regions {
+		peak := report.Peak(r.runs, func(a ident.Address) bool { return regions[a] == region })
+		if part := float64(peak) / float64(r.shape.RegionCapacity(region)); part > most {
+			most, where = part, region
+		}
+	}
+	return most, where
+}
+
 // lastRun returns the start of the last run that chosen admits, since the start of the measurement's run.
 func (r *run) lastRun(chosen func(ident.Domain) bool) (time.Duration, bool) {
 	domains := make(map[ident.Address]ident.Domain)
--- a/load/main.go
+++ b/load/main.go
@@ -9,6 +9,7 @@
 	"cuminfall.example/load/deployment"
 	"cuminfall.example/load/direct"
 	"cuminfall.example/load/experiment"
+	"cuminfall.example/load/inforce"
 	"cuminfall.example/load/relay"
 	"cuminfall.example/load/upstream"
 )
@@ -22,5 +23,6 @@
 		experiment.Command(),
 		deployment.Command(),
 		relay.Command(),
+		inforce.Command(),
 	}))
 }
--- a/load/report/report.go
+++ b/load/report/report.go
@@ -163,6 +163,12 @@
 // is what its answers fall short of the entitlement.
 func (r *Report) workspaces(samples []Sample, entitlements []Entitlement) {
 	r.Worst.Served = 1
+	answeredRepeats := make(map[string]bool)
+	for i := range samples {
+		if samples[i].Repeat && samples[i].Kind == Answered {
+			answeredRepeats[samples[i].Request] = true
+		}
+	}
 	for _, e := range entitlements {
 		w := Workspace{Entitlement: e, Served: 1}
 		var offered []time.Duration
@@ -172,7 +178,7 @@
 			}
 			offered = append(offered, samples[i].Intended)
 			switch {
-			case samples[i].Kind == Answered || samples[i].dueRepeat():
+			case samples[i].Kind == Answered || samples[i].duePending(answeredRepeats):
 				w.Answered++
 			case samples[i].Kind == Refused:
 				w.Refused++
--- a/load/report/report_test.go
+++ b/load/report/report_test.go
@@ -137,3 +137,33 @@
 	slow := Compare(samples, runs, []Entitlement{{Workspace: "acme", Rate: 0.1, Burst: 1}}, 0)
 	is.Equal(len(slow.Excess), 1)
 }
+
+// Guards against counting runs of other endpoints, runs that follow each other, or forgetting runs that never ended.
+func TestPeakCountsOverlappingRuns(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int) time.Time { return time.UnixMilli(int64(1_000_000 + ms)) }
+	runs := []upstream.Run{
+		{Endpoint: "a", Start: at(0), End: at(10)},
+		{Endpoint: "a", Start: at(10), End: at(20)},
+		{Endpoint: "b", Start: at(5), End: at(15)},
+		{Endpoint: "a", Start: at(12)},
+		{Endpoint: "c", Start: at(0), End: at(100)},
+		{Endpoint: "b", Start: at(50), End: at(60)},
+	}
+	ab := func(e ident.Address) bool { return e != "c" }
+	is.Equal(Peak(runs, ab), 3)
+	is.Equal(Peak(runs[:2], ab), 1)
+	is.Equal(Peak(nil, ab), 0)
+}
+
+// Guards against blaming the fleet when a repetition overtakes the first request, and against
+// excusing a first request whose repetition was not answered either.
+func TestPendingFirstIsDueWhenItsRepetitionWasAnswered(t *testing.T) {
+	is := is.New(t)
+	e := []Entitlement{{Workspace: "w", Rate: 10, Burst: 10}}
+	first := Sample{Request: "1", Workspace: "w", Kind: Refused, Code: fault.Pending}
+	repeat := Sample{Request: "1", Workspace: "w", Kind: Answered, Repeat: true}
+	is.Equal(Summarize([]Sample{first, repeat}, e, 0, time.Second).Wrongful, 0)
+	repeat.Kind, repeat.Code = Refused, fault.Busy
+	is.Equal(Summarize([]Sample{first, repeat}, e, 0, time.Second).Wrongful, 2)
+}
--- a/load/report/runs.go
+++ b/load/report/runs.go
@@ -111,6 +111,37 @@
 	}
 }
 
+// Peak returns the most runs at the same time, over all endpoints that chosen admits.
+// A run that ends at the moment at which another starts does not overlap with it.
+func Peak(runs []upstream.Run, chosen func(ident.Address) bool) int {
+	type edge struct {
+		at   time.Time
+		step int
+	}
+	var edges []edge
+	for i := range runs {
+		if !chosen(runs[i].Endpoint) {
+			continue
+		}
+		edges = append(edges, edge{runs[i].Start, 1})
+		if !runs[i].End.IsZero() {
+			edges = append(edges, edge{runs[i].End, -1})
+		}
+	}
+	sort.Slice(edges, func(i, j int) bool {
+		if edges[i].at.Equal(edges[j].at) {
+			return edges[i].step < edges[j].step
+		}
+		return edges[i].at.Before(edges[j].at)
+	})
+	level, most := 0, 0
+	for _, e := range edges {
+		level += e.step
+		most = max(most, level)
+	}
+	return most
+}
+
 // Stands are the admin addresses of the processes with stand-in endpoints.
 type Stands struct {
 	Addresses []string
--- a/load/report/sample.go
+++ b/load/report/sample.go
@@ -40,9 +40,10 @@
 	Path      string          `json:"path,omitempty"` // where paths alternate within a run
 }
 
-// dueRepeat reports whether a repetition heard that the first request still runs, which is its due answer.
-func (s *Sample) dueRepeat() bool {
-	return s.Repeat && s.Kind == Refused && s.Code == fault.Pending
+// duePending reports whether the request heard, as it should, that the other one with its idempotency
+// key still runs. The first request hears it where its repetition, which was then answered, overtook it.
+func (s *Sample) duePending(answeredRepeats map[string]bool) bool {
+	return s.Kind == Refused && s.Code == fault.Pending && (s.Repeat || answeredRepeats[s.Request])
 }
 
 // Entitlement is what a workspace may use over the whole fleet.
