ledger: recognise claims by their tokens

Cause: entry VMs already send a token with each claim and abandon, but the ledger ignored it. A claim whose answer was lost therefore stayed pending for 24 hours, and the give-up that entry sends then (claim 0 with the token) was answered not_found.

A pending claim is granted again for the same token and digest. An abandon with claim 0 gives up the pending claim with that token. A repeated abandon succeeds, because its first answer may have been lost as well.

--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -34,6 +34,9 @@
 	claims  map[claimKey]*claim
 	claimed []claimMark // by log time
 
+	abandoned map[string]bool // tokens of abandoned claims
+	marks     []abandonedMark // by log time
+
 	upstreams  map[ident.Address]*rpc.Upstream
 	departures map[ident.Address]departure
 
@@ -57,6 +60,7 @@
 		verdicts:   make(map[target]*rpc.Verdict),
 		outcomes:   make(map[ident.ChangeID]*outcome),
 		claims:     make(map[claimKey]*claim),
+		abandoned:  make(map[string]bool),
 		upstreams:  make(map[ident.Address]*rpc.Upstream),
 		departures: make(map[ident.Address]departure),
 		vms:        make(map[ident.VM]*vm),
--- a/control/ledger/ledger_test.go
+++ b/control/ledger/ledger_test.go
@@ -159,6 +159,54 @@
 	is.Equal(ask("a").GetState(), rpc.ClaimState_CLAIM_STATE_GRANTED)
 }
 
+// TestClaimTokens guards against a claim that stays pending because its answer
+// was lost, and against one that is granted after it was abandoned.
+func TestClaimTokens(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	claim := func(token, digest string) any {
+		return b.do(Claim{&rpc.ClaimRequest{Workspace: "w", Service: "s", Key: "k", Digest: []byte(digest), Token: token}})
+	}
+	state := func(result any) rpc.ClaimState { return result.(*rpc.ClaimReply).GetState() }
+	abandon := func(n uint64, token string) fault.Code {
+		return code(b.do(Abandon{&rpc.AbandonRequest{Workspace: "w", Service: "s", Key: "k", Claim: n, Token: token}}))
+	}
+	restart := func() {
+		data, err := b.Snapshot()
+		is.NoErr(err)
+		b.Ledger = New()
+		is.NoErr(b.Restore(data))
+	}
+	const none = fault.Code("")
+	first := claim("t1", "a").(*rpc.ClaimReply)
+	restart()
+	is.Equal(claim("t1", "a"), first)                                        // its first answer may be lost
+	is.Equal(state(claim("t1", "b")), rpc.ClaimState_CLAIM_STATE_MISMATCH)   // other content
+	is.Equal(state(claim("t2", "a")), rpc.ClaimState_CLAIM_STATE_PENDING)    // another claim
+	is.Equal(state(claim("", "a")), rpc.ClaimState_CLAIM_STATE_PENDING)      // no token is no claim's token
+	is.Equal(abandon(0, ""), fault.Invalid)                                  // names no claim
+	is.Equal(abandon(0, strings.Repeat("t", longestToken+1)), fault.Invalid) // kept in memory
+	is.Equal(code(claim(strings.Repeat("t", longestToken+1), "a")), fault.Invalid)
+	is.Equal(abandon(0, "t3"), none)                                      // overtakes its claim
+	is.Equal(state(claim("t1", "a")), rpc.ClaimState_CLAIM_STATE_GRANTED) // not touched by t3
+	is.Equal(abandon(0, "t1"), none)
+	restart()
+	is.Equal(code(claim("t1", "a")), fault.Conflict) // a late copy
+	is.Equal(code(claim("t3", "a")), fault.Conflict)
+	fourth := claim("t4", "a").(*rpc.ClaimReply)
+	is.Equal(fourth.GetState(), rpc.ClaimState_CLAIM_STATE_GRANTED)
+	is.Equal(abandon(fourth.GetClaim(), "t4"), none)
+	is.Equal(abandon(fourth.GetClaim(), "t4"), none) // its first answer may be lost
+	is.Equal(code(claim("t4", "a")), fault.Conflict) // a late copy
+	b.now = abandonedLife
+	is.Equal(state(claim("t4", "a")), rpc.ClaimState_CLAIM_STATE_GRANTED) // tokens are not kept for ever
+	is.Equal(len(b.abandoned), 0)
+	fifth := claim("t4", "a").(*rpc.ClaimReply)
+	b.do(Complete{&rpc.CompleteRequest{Workspace: "w", Service: "s", Key: "k", Claim: fifth.GetClaim(), Outcome: &rpc.Outcome{Status: 200}}})
+	is.Equal(abandon(0, "t4"), fault.Conflict) // it ran
+	is.Equal(state(claim("t4", "a")), rpc.ClaimState_CLAIM_STATE_COMPLETED)
+}
+
 // TestLateRelease guards against a release that arrives after the holder
 // registered again, and against shares for runs that are over.
 func TestLateRelease(t *testing.T) {
@@ -230,7 +278,9 @@
 
 func randomCommand(rt *rapid.T, b *bench, i int, h Holder, id ident.Limit, n int) Command {
 	w := &wire.Holder{Vm: string(h.VM), Incarnation: uint64(h.Incarnation)}
-	switch rapid.IntRange(0, 9).Draw(rt, "command") {
+	switch rapid.IntRange(0, 10).Draw(rt, "command") {
+	case 10:
+		return Abandon{&rpc.AbandonRequest{Workspace: "w", Service: "s", Key: fmt.Sprint(n), Token: fmt.Sprint("t", n)}}
 	case 0:
 		return Enter{&wire.Enter{Member: &rpc.Member{Vm: w.GetVm(), Incarnation: w.GetIncarnation()}, Uses: []*wire.Use{{Limit: "region/r", Used: uint32(n)}}}}
 	case 1:
@@ -240,7 +290,7 @@
 	case 3:
 		return Lend{&wire.Lend{Confirms: []*wire.Lend_Confirm{{Holder: w, Version: b.index - uint64(n), Uses: []*wire.Use{{Limit: string(id), Used: uint32(n)}}}}}}
 	case 4:
-		return Claim{&rpc.ClaimRequest{Workspace: "w", Service: "s", Key: fmt.Sprint(n), Digest: []byte{byte(i % 2)}}}
+		return Claim{&rpc.ClaimRequest{Workspace: "w", Service: "s", Key: fmt.Sprint(n), Digest: []byte{byte(i % 2)}, Token: fmt.Sprint("t", n)}}
 	case 5:
 		return Suspect{&wire.Suspect{Items: []*wire.Suspect_Item{{Address: "10.0.0.1:80", Incarnation: uint64(i - n), Suspected: n > 3, Remove: n > 9}}}}
 	case 6:
--- a/control/ledger/snapshot.go
+++ b/control/ledger/snapshot.go
@@ -27,6 +27,9 @@
 			s.Claims = append(s.Claims, &wire.State_Claim{Request: c.request, Index: uint64(c.index), LogNs: int64(c.at), Outcome: c.outcome})
 		}
 	}
+	for _, m := range l.marks {
+		s.Abandoned = append(s.Abandoned, &wire.State_Abandoned{Token: m.token, LogNs: int64(m.at)})
+	}
 	for a, d := range l.departures {
 		s.Departures = append(s.Departures, &wire.State_Departure{Address: string(a), Incarnation: uint64(d.incarnation), LogNs: int64(d.at)})
 	}
@@ -124,6 +127,10 @@
 		l.claims[key] = c
 		l.claimed = append(l.claimed, claimMark{key, c.index, c.at})
 	}
+	for _, w := range s.GetAbandoned() {
+		l.abandoned[w.GetToken()] = true
+		l.marks = append(l.marks, abandonedMark{w.GetToken(), time.Duration(w.GetLogNs())})
+	}
 }
 
 func (l *Ledger) restoreRegistry(s *wire.State) {
