ledger: keep what requests of a released holder may still use

Cause: scenario region_lapse found 11 requests at the same time in a region of capacity 6: a VM that was cut off, and one that was frozen, went on with uploads of 12 s after their leases lapsed, and the leader lent their slots and places again. Change: the counts of a released holder stay taken until the longest time-out of the service has passed, or its VM runs anew, returns or is declared down by the monitoring group. Ruled out: the load that upstreams report, because it may lag or lie; the uses of the last exchange, because a holder may start more until its lease ends; cutting the requests, because a cut-off VM's callers are served well. Cost: a dead VM's slots stay taken for as long, unless it is restarted. Scenario networks are reserved, since two runs at once met on the same addresses.

--- a/control/ledger/change.go
+++ b/control/ledger/change.go
@@ -231,6 +231,9 @@
 	}
 	now := &rpc.Verdict{Kind: v.GetKind(), Target: v.GetTarget(), Down: v.GetDown(), Index: uint64(l.index), Id: v.GetId()}
 	l.verdicts[key] = now
+	if now.GetDown() && key.kind == string(document.VMKind) {
+		l.settle(ident.VM(key.name))
+	}
 	l.versions.Config = uint64(l.index)
 	l.record(&rpc.Change{
 		Index: uint64(l.index), TimeMs: e.Wall.UnixMilli(), Operator: m.Name, Section: v.GetKind() + "/" + v.GetTarget(),
--- a/control/ledger/claim.go
+++ b/control/ledger/claim.go
@@ -46,6 +46,7 @@
 // expire drops claims older than ClaimLife, tokens older than abandonedLife and
 // departures older than departureLife.
 func (l *Ledger) expire() {
+	l.expireResidues()
 	for len(l.claimed) > 0 && l.claimed[0].at+ClaimLife <= l.at {
 		mark := l.claimed[0]
 		l.claimed = l.claimed[1:]
--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -42,6 +42,8 @@
 
 	vms     map[ident.VM]*vm
 	holders map[Holder]*holding
+
+	residues []residue // in the order of the releases
 }
 
 var _ replica.Machine = (*Ledger)(nil)
--- a/control/ledger/lend.go
+++ b/control/ledger/lend.go
@@ -169,9 +169,14 @@
 	return list
 }
 
-// Ceilings returns the sum of a limit's ceilings over all holders.
+// Ceilings returns the sum of a limit's ceilings over all holders, and of what released ones may still use.
 func (l *Ledger) Ceilings(id ident.Limit) Amount {
 	var sum Amount
+	for _, r := range l.residues {
+		if r.limit == id {
+			sum.Count += r.count
+		}
+	}
 	for _, h := range l.Holders() { // fixed order, because float sums depend on it
 		if a := l.holders[h].allotments[id]; a != nil {
 			sum = sum.Add(a.Ceiling)
@@ -212,9 +217,11 @@
 // release drops a holder whose lease has lapsed. A copy that arrives after the
 // holder registered again does nothing.
 func (l *Ledger) release(h Holder, entered ident.Index) {
-	if hold := l.holders[h]; hold == nil || hold.entered != entered {
+	hold := l.holders[h]
+	if hold == nil || hold.entered != entered {
 		return
 	}
+	l.retain(h, hold)
 	delete(l.holders, h)
 	if _, ok := l.Current(h); ok {
 		l.vms[h.VM].absent = true
--- a/control/ledger/registry.go
+++ b/control/ledger/registry.go
@@ -159,6 +159,7 @@
 		}
 	}
 	v.absent = false
+	l.settle(name)
 	v.member = &rpc.Member{Vm: m.GetVm(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Domain: m.GetDomain(), Leaving: leaving}
 	l.versions.Members = uint64(l.index)
 	h := Holder{name, inc}
--- a/control/ledger/snapshot.go
+++ b/control/ledger/snapshot.go
@@ -42,6 +42,9 @@
 		s.Vms = append(s.Vms, w)
 	}
 	sort.Slice(s.Vms, func(i, j int) bool { return s.Vms[i].GetMember().GetVm() < s.Vms[j].GetMember().GetVm() })
+	for _, r := range l.residues {
+		s.Residues = append(s.Residues, r.wire())
+	}
 	for _, h := range l.Holders() {
 		s.Holders = append(s.Holders, l.snapshotHolder(h))
 	}
@@ -103,6 +106,9 @@
 		}
 		l.holders[holderOf(w.GetHolder())] = hold
 	}
+	for _, w := range s.GetResidues() {
+		l.residues = append(l.residues, residueOf(w))
+	}
 	return l.restoreSections(s)
 }
 
--- a/control/server/plan.go
+++ b/control/server/plan.go
@@ -97,8 +97,9 @@
 	lend := new(wire.Lend)
 	in := lender.Input{
 		Document: s.ledger.Document(), Upstreams: s.ledger.Upstreams(), Verdicts: s.ledger.Verdicts(), LogTime: s.soft.extrapolate(now, s.ledger.At()),
-		Others: make(map[ident.Limit]ledger.Amount), Total: s.ledger.Total,
+		Total: s.ledger.Total,
 	}
+	in.Others = s.ledger.Residues(in.LogTime)
 	s.soft.prune(now, s.timings.lapse(), s.ledger)
 	for _, h := range s.ledger.Holders() {
 		if s.lapsed(now, h) {
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -23,6 +24,7 @@
 
 // Last octets and ports of a script's network.
 const (
+	firstNet     = 20
 	firstControl = 10
 	firstEntry   = 30
 	upstreamHost = 60
@@ -50,6 +52,7 @@
 type fleet struct {
 	dir      string
 	net      int
+	guard    net.Listener // keeps the network reserved
 	procs    map[string]*process
 	order    []string
 	fronts   map[string]*relay.Front
@@ -58,14 +61,18 @@
 	before   map[ident.Address]upstream.Status // at the last check of the record
 }
 
-func newFleet(dir string, net int) *fleet {
+func newFleet(dir string) (*fleet, error) {
+	n, guard, err := network()
+	if err != nil {
+		return nil, err
+	}
 	return &fleet{
-		dir: dir, net: net, procs: map[string]*process{}, fronts: map[string]*relay.Front{},
+		dir: dir, net: n, guard: guard, procs: map[string]*process{}, fronts: map[string]*relay.Front{},
 		traffics: map[string]*traffic{}, client: &http.Client{Timeout: 30 * time.Second},
-	}
+	}, nil
 }
 
-func (f *fleet) host(last int) string { return fmt.Sprintf("127.%d.0.%d", 20+f.net, last) }
+func (f *fleet) host(last int) string { return fmt.Sprintf("127.%d.0.%d", firstNet+f.net, last) }
 
 func (f *fleet) controls() string {
 	list := make([]string, 3)
@@ -341,6 +348,7 @@
 	for _, front := range f.fronts {
 		front.Stop()
 	}
+	f.guard.Close()
 }
 
 // links returns the links between two processes in both directions.
--- a/scenario/linear_test.go
+++ b/scenario/linear_test.go
@@ -103,7 +103,8 @@
 // leaders crash, freeze and are cut off.
 func TestChangesAreLinearizable(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t.TempDir(), int(nets.Add(1)))
+	f, err := newFleet(t.TempDir())
+	is.NoErr(err)
 	t.Cleanup(f.close)
 	is.NoErr(f.deploy(params{"entry": "1"}))
 	h := &history{began: time.Now()}
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -2,26 +2,40 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
 // bin is the folder with the programs under test.
 var bin string
 
-// nets numbers the loopback networks; each script has one of its own, so that scripts run side by side.
+// nets numbers the loopback networks that were tried; each script has one of its own, so that scripts run side by side.
 var nets atomic.Int32
 
+// network reserves a loopback network for this process, as other runs of these tests may be going on.
+func network() (int, net.Listener, error) {
+	for range 200 {
+		n := int(nets.Add(1)) % 200
+		if guard, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", firstNet+n, frontPort)); err == nil {
+			return n, guard, nil
+		}
+	}
+	return 0, nil, errors.New("no free loopback network")
+}
+
 func TestMain(m *testing.M) {
 	os.Exit(run(m))
 }
 
 func run(m *testing.M) int {
+	nets.Store(int32(os.Getpid() % 200)) // runs side by side seldom try the same network
 	dir, err := os.MkdirTemp("", "cuminfall")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -72,7 +86,10 @@
 		Cmds:                commands,
 		RequireExplicitExec: true,
 		Setup: func(e *testscript.Env) error {
-			f := newFleet(e.WorkDir, int(nets.Add(1)))
+			f, err := newFleet(e.WorkDir)
+			if err != nil {
+				return err
+			}
 			e.Values["fleet"] = f
 			e.Defer(f.close)
 			e.Setenv("PATH", bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
