--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -78,6 +78,9 @@
 	} else {
 		u.waiting.push(q)
 	}
+	if q.claimed {
+		u.workspace.promised++
+	}
 	q.queue, q.state = u, queued
 	u.service.waiting++
 	u.workspace.waiting++
@@ -97,6 +100,9 @@
 	} else {
 		u.waiting.remove(q)
 	}
+	if q.claimed {
+		u.workspace.promised--
+	}
 	q.queue = nil
 	u.service.waiting--
 	u.workspace.waiting--
@@ -216,9 +222,7 @@
 	if !r.Fresh(r.now) {
 		out = r.refuseStale(out)
 	}
-	for q := r.timers.first(); q != nil && !r.now.Before(q.deadline); q = r.timers.first() {
-		out = r.refuse(q, r.expired(q), out)
-	}
+	out = r.endOverdue(out)
 	if r.waiting == 0 {
 		return out
 	}
@@ -233,9 +237,12 @@
 	return r.askIfShort(out)
 }
 
-// refuseStale ends every request that waits for a share. Requests in the state
+// refuseStale ends every request that waits for a share or for proof of its key. Requests in the state
 // claiming are checked when the answer comes.
 func (r *Router) refuseStale(out []Effect) []Effect {
+	for len(r.unproven) > 0 {
+		out = r.refuse(r.unproven[0], r.stale(), out)
+	}
 	for _, s := range r.view.serviceList {
 		for len(s.active) > 0 {
 			out = r.refuse(s.active[0].head(), r.stale(), out)
@@ -244,10 +251,13 @@
 	return out
 }
 
-// expired says why a request was not started before its deadline.
+// expired says why a request was not started in time to be answered before its deadline.
 func (r *Router) expired(q *request) *fault.Error {
+	if q.state == unproven {
+		return notRun(fault.Key, "key", "caller", "key is unknown, and control was not heard before the deadline")
+	}
 	if q.state == claiming {
-		return notRun(fault.Deadline, "claim", "control", "time-out passed while the request was claimed")
+		return notRun(fault.Deadline, "claim", "control", "too little time is left after the wait for the claim")
 	}
 	return r.short(q)
 }
@@ -261,7 +271,7 @@
 	return notRun(fault.Busy, "dispatch", string(q.service.Name), "no capacity before the deadline")
 }
 
-// askSpacing bounds how often an exchange is asked for while requests wait.
+// askSpacing bounds how often an exchange is asked for.
 const askSpacing = 50 * time.Millisecond
 
 // askIfShort wants an exchange at once when requests wait that the shares
@@ -277,14 +287,22 @@
 			if ok && delay > 0 && r.now.Add(delay).Before(next) {
 				continue
 			}
-			r.asked = r.now
-			r.stats.Asked++
-			return append(out, &r.ask)
+			return r.askNow(out)
 		}
 	}
 	return out
 }
 
+// askNow wants an exchange at once, unless one was just asked for.
+func (r *Router) askNow(out []Effect) []Effect {
+	if r.now.Sub(r.asked) < askSpacing {
+		return out
+	}
+	r.asked = r.now
+	r.stats.Asked++
+	return append(out, &r.ask)
+}
+
 // Next returns when the next Tick is due, or false when no request waits.
 func (r *Router) Next() (time.Time, bool) {
 	first := r.timers.first()
@@ -292,9 +310,9 @@
 		return time.Time{}, false
 	}
 	if r.waiting == 0 {
-		return first.deadline, true
+		return first.latest, true
 	}
-	return earlier(first.deadline, r.due), true
+	return earlier(first.latest, r.due), true
 }
 
 // schedule works out when waiting requests can go on.
@@ -304,17 +322,14 @@
 	}
 }
 
-// nextToken returns when the first queue that lacks only a token gets one.
+// nextToken returns when the first workspace with waiting requests gets one more token.
 func (r *Router) nextToken() time.Time {
 	due := r.now.Add(time.Hour)
 	for _, w := range r.view.workspaceList {
 		if w.waiting == 0 {
 			continue
 		}
-		need := 1.0
-		if w.bucket.Tokens(r.now) >= 1 {
-			need += float64(w.claiming)
-		}
+		need := math.Floor(w.bucket.Tokens(r.now)) + 1
 		if delay, ok := w.bucket.Ready(r.now, need); ok && delay > 0 {
 			due = earlier(due, r.now.Add(delay))
 		}
