--- a/load/main.go
+++ b/load/main.go
@@ -10,6 +10,7 @@
 	"cuminfall.example/load/direct"
 	"cuminfall.example/load/experiment"
 	"cuminfall.example/load/inforce"
+	"cuminfall.example/load/nodes"
 	"cuminfall.example/load/relay"
 	"cuminfall.example/load/upstream"
 )
@@ -24,5 +25,6 @@
 		deployment.Command(),
 		relay.Command(),
 		inforce.Command(),
+		nodes.Command(),
 	}))
 }
