load: report how much of a link bodies take

The record of a run has the source of its connection, so the experiments tell which link between regions carried its bodies and compare them with the stated rate for each second and direction. A relay per link would need endpoints with an address for each region, which announcements do not have.

--- a/load/deployment/files.go
+++ b/load/deployment/files.go
@@ -89,6 +89,21 @@
 	return netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 71, byte(1 + n), 0}), 24)
 }
 
+// RegionAt returns the region of an entry VM or caller by its address; other addresses have none.
+func (d *Shape) RegionAt(address netip.Addr) ident.Region {
+	for i, domain := range d.Domains() {
+		if vms(i).Contains(address) {
+			return d.RegionOf(domain)
+		}
+	}
+	for i, region := range d.Regions {
+		if callers(i).Contains(address) {
+			return region
+		}
+	}
+	return ""
+}
+
 // links gives the latency between each failure domain and the entry VMs of all others.
 // Baselines have no entry VMs; a request of theirs comes from its caller's region.
 func (d *Shape) links() []upstream.LinkSettings {
--- a/load/experiment/experiment_test.go
+++ b/load/experiment/experiment_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -243,3 +244,22 @@
 		})
 	}
 }
+
+// Guards against links that are measured over the wrong pair of regions or that miss traffic within a second.
+func TestLinkUseIsThatOfTheBusiestSecond(t *testing.T) {
+	is := is.New(t)
+	shape, err := deployment.Find("revontuli")
+	is.NoErr(err)
+	at := func(second int64) time.Time { return time.Unix(1_000_000+second, 0) }
+	r := &run{shape: shape, where: []upstream.Status{{Address: "lappi", Domain: "lappi-a"}, {Address: "uusimaa", Domain: "uusimaa-b"}}}
+	near := netip.MustParseAddr("127.71.1.1") // an entry VM of lappi-a
+	half := ident.Bytes(shape.Link.BytesPerSecond() / 2)
+	r.runs = []upstream.Run{
+		{Endpoint: "lappi", Source: near, Start: at(0), End: at(0), Received: 10 * half},
+		{Endpoint: "uusimaa", Source: near, Start: at(0), End: at(1), Received: half, Sent: half},
+		{Endpoint: "uusimaa", Source: near, Start: at(1), End: at(1), Received: half, Sent: half / 2},
+	}
+	most, link := r.linkUse()
+	is.Equal(link, "uusimaa to lappi")
+	is.True(most > 0.74 && most < 0.76)
+}
--- a/load/experiment/figures.go
+++ b/load/experiment/figures.go
@@ -20,8 +20,10 @@
 		r.figure("least headroom of a domain", r.watch.domain.least, "of slots, over 5 s, at "+r.watch.domain.where, "")
 	}
 	r.figure("p99", float64(r.report.Total.P99)/float64(time.Millisecond), "ms", "")
-	part, where := r.regionUse()
-	r.figure("most of a region's capacity", part, "of the runs it may have at once, at "+string(where), "at most 1")
+	part, region := r.regionUse()
+	r.figure("most of a region's capacity", part, "of the runs it may have at once, at "+string(region), "at most 1")
+	part, link := r.linkUse()
+	r.figure("bodies on a link", part, "of its rate, over 1 s, on "+link, "at most 1")
 	if r.watch.linked {
 		r.figure("most of a link", r.watch.link, "of its rate, over 1 s", "at most 1")
 	}
@@ -43,6 +45,36 @@
 	return most, where
 }
 
+// linkUse returns the most of a link's rate that bodies took over a second, by the stand-ins' record.
+// A request's body counts at the start of its run and an answer's at the end.
+func (r *run) linkUse() (float64, string) {
+	type second struct {
+		link string
+		at   int64
+	}
+	regions := make(map[ident.Address]ident.Region)
+	for _, e := range r.where {
+		regions[e.Address] = r.shape.RegionOf(e.Domain)
+	}
+	carried := make(map[second]ident.Bytes)
+	for i := range r.runs {
+		run := &r.runs[i]
+		from, to := r.shape.RegionAt(run.Source), regions[run.Endpoint]
+		if from == "" || from == to || r.shape.Link <= 0 {
+			continue
+		}
+		carried[second{string(from + " to " + to), run.Start.Unix()}] += run.Received
+		carried[second{string(to + " to " + from), run.End.Unix()}] += run.Sent
+	}
+	most, where := 0.0, "none"
+	for s, bytes := range carried {
+		if part := float64(bytes) / r.shape.Link.BytesPerSecond(); part > most {
+			most, where = part, s.link
+		}
+	}
+	return most, where
+}
+
 // lastRun returns the start of the last run that chosen admits, since the start of the measurement's run.
 func (r *run) lastRun(chosen func(ident.Domain) bool) (time.Duration, bool) {
 	domains := make(map[ident.Address]ident.Domain)
--- a/load/upstream/record.go
+++ b/load/upstream/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	Service     ident.Service     `json:"service"`
 	Endpoint    ident.Address     `json:"endpoint"`
 	Incarnation ident.Incarnation `json:"incarnation"`
+	Source      netip.Addr        `json:"source,omitzero"` // of the connection
 	Start       time.Time         `json:"start"`
 	End         time.Time         `json:"end,omitzero"`
 	Received    ident.Bytes       `json:"received"`
--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -115,8 +116,9 @@
 	e.mu.Lock()
 	incarnation := e.incarnation
 	e.mu.Unlock()
+	source, _ := netip.ParseAddrPort(r.RemoteAddr) // the server always sets it
 	return Run{
-		Request: r.Header.Get(answer.RequestHeader), Attempt: r.Header.Get(answer.AttemptHeader),
+		Source: source.Addr(), Request: r.Header.Get(answer.RequestHeader), Attempt: r.Header.Get(answer.AttemptHeader),
 		Workspace: ident.Workspace(r.Header.Get(workspaceHeader)), Service: e.set.Service,
 		Endpoint: e.set.Address, Incarnation: incarnation, Start: e.clock.Now(),
 		Idempotency: r.Header.Get(keyHeader), Keys: keysIn(r),
