gateway: hold back transfers that a full share answers without a delay

Cause: a link share that is full answers a transfer of more than its burst with Wait{Delay: 0, Most: burst}. The gateway passed on the delay only, and forward takes a delay of 0 as permission, so the whole piece moved without tokens. A Wait effect now always carries a pause of at least 1 us, and forward asks again for at most Most bytes.

The other fields were found in use already: Ended.Attempt is copied in both places, Connections caps the pool with its idle connections, and a claim that is granted after the refusal is abandoned. The last had no test.

Tests: TestPaceWithoutDelay fails without the pause, TestLateGrant with the grant ignored, TestPaceInPieces with Most ignored. With a wrong Attempt the gateway's tests do not end, because the router ignores the report.

--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -485,3 +485,21 @@
 	c.Update(nil)
 	<-u.closed // idle connections to an endpoint that left are closed
 }
+
+// Guards against a transfer that waits for ever because it asks for more than the share can hold.
+func TestPaceInPieces(t *testing.T) {
+	is := is.New(t)
+	client, moved := New(Options{}), 0
+	x := &Exchange{ctx: context.Background(), c: &conn{pool: &pool{client: client}}, r: &Request{
+		Deadline: time.Now().Add(300 * time.Millisecond),
+		Pace: func(n int, _ bool) (time.Duration, int) {
+			if n > 10 {
+				return time.Microsecond, 10
+			}
+			moved += n
+			return 0, 0
+		},
+	}}
+	is.NoErr(x.pace(25, false))
+	is.Equal(moved, 25)
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -280,12 +280,20 @@
 	}
 }
 
+// leastPause keeps a transfer that must ask again from asking without a pause.
+const leastPause = time.Microsecond
+
 // pace asks the router whether body bytes of a request may move over its link.
+// A Wait effect without a delay still means that these bytes may not move: the
+// share holds Most bytes now, but never all that were asked for.
 func (g *Gateway) pace(id router.RequestID, n int, back bool) (time.Duration, int) {
 	event := router.Transfer{At: g.Clock.Now(), ID: id, Bytes: ident.Bytes(n), Back: back}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.wait = router.Wait{}
 	g.step(&event)
-	return g.wait.Delay, int(g.wait.Most)
+	if g.wait.ID == 0 {
+		return 0, 0
+	}
+	return max(g.wait.Delay, leastPause), int(g.wait.Most)
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -36,7 +36,8 @@
 type fakeControl struct {
 	mu        sync.Mutex
 	claims    map[string]*fakeClaim
-	failing   bool // Complete fails
+	failing   bool          // Complete fails
+	slow      time.Duration // before Claim answers
 	abandoned int
 }
 
@@ -49,6 +50,7 @@
 func (f *fakeControl) Ask() {}
 
 func (f *fakeControl) Claim(_ context.Context, _ time.Time, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
+	time.Sleep(f.slow)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.claims[r.Key]
--- a/entry/gateway/route_test.go
+++ b/entry/gateway/route_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"cuminfall.example/entry/router"
 	"cuminfall.example/fleet/fault"
 )
 
@@ -253,3 +254,50 @@
 	defer b.gateway.mu.Unlock()
 	b.True(b.gateway.Router.Stats().Arrived == 1)
 }
+
+// Guards against a claim that stays pending because it was granted after its request was refused.
+func TestLateGrant(t *testing.T) {
+	u := &recorder{body: "ok"}
+	b := newBench(t, map[string]string{"claims": u.start(t)}, 0)
+	b.control.slow = 200 * time.Millisecond
+	r := b.request("POST", "/claims/a", nil, "Idempotency-Key: 1")
+	r.Header.Set("Request-Timeout", "50ms")
+	answer, _, err := b.do(r)
+	b.NoErr(err)
+	b.Equal(answer.Header.Get("Cuminfall-Run"), "not-run")
+	b.Equal(u.ran(), 0)
+	b.Equal(b.control.abandoned, 1)
+	b.Equal(len(b.control.claims), 0)
+}
+
+// waiter answers transfers as a link share does that holds 10 bytes at most.
+type waiter struct {
+	Reducer
+	wait router.Wait
+}
+
+func (w *waiter) Step(e router.Event, out []router.Effect) []router.Effect {
+	if t, ok := e.(*router.Transfer); ok && t.Bytes > w.wait.Most {
+		w.wait.ID = t.ID
+		return append(out, &w.wait)
+	}
+	return out
+}
+
+// Guards against body bytes that move without tokens: a full share answers a
+// larger transfer with a smaller one and no delay.
+func TestPaceWithoutDelay(t *testing.T) {
+	b := newBench(t, nil, 0)
+	b.gateway.mu.Lock()
+	b.gateway.Router = &waiter{Reducer: b.gateway.Router, wait: router.Wait{Most: 10}}
+	b.gateway.mu.Unlock()
+	for _, c := range []struct {
+		bytes int
+		waits bool
+		most  int
+	}{{10, false, 0}, {11, true, 10}} {
+		delay, most := b.gateway.pace(1, c.bytes, false)
+		b.Equal(delay > 0, c.waits)
+		b.Equal(most, c.most)
+	}
+}
