--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -34,11 +34,16 @@
 	claims  map[claimKey]*claim
 	claimed []claimMark // by log time
 
+	abandoned map[string]bool // tokens of abandoned claims
+	marks     []abandonedMark // by log time
+
 	upstreams  map[ident.Address]*rpc.Upstream
 	departures map[ident.Address]departure
 
 	vms     map[ident.VM]*vm
 	holders map[Holder]*holding
+
+	residues []residue // in the order of the releases
 }
 
 var _ replica.Machine = (*Ledger)(nil)
@@ -57,6 +62,7 @@
 		verdicts:   make(map[target]*rpc.Verdict),
 		outcomes:   make(map[ident.ChangeID]*outcome),
 		claims:     make(map[claimKey]*claim),
+		abandoned:  make(map[string]bool),
 		upstreams:  make(map[ident.Address]*rpc.Upstream),
 		departures: make(map[ident.Address]departure),
 		vms:        make(map[ident.VM]*vm),
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -36,7 +36,8 @@
 type fakeControl struct {
 	mu        sync.Mutex
 	claims    map[string]*fakeClaim
-	failing   bool // Complete fails
+	failing   bool          // Complete fails
+	slow      time.Duration // before Claim answers
 	abandoned int
 }
 
@@ -49,6 +50,7 @@
 func (f *fakeControl) Ask() {}
 
 func (f *fakeControl) Claim(_ context.Context, _ time.Time, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
+	time.Sleep(f.slow)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c := f.claims[r.Key]
@@ -133,7 +135,7 @@
 	hash := sha256.Sum256([]byte(secret))
 	sections := map[string]string{
 		"places":   "[[region]]\nname='r1'\n[[domain]]\nname='d1'\nregion='r1'\n",
-		"services": "[[service]]\nname='forecast'\nprefix='/forecast/'\nbody=300000\n[[service]]\nname='claims'\nprefix='/claims/'\nonce=true\n",
+		"services": "[[service]]\nname='forecast'\nprefix='/forecast/'\nbody=200000\n[[service]]\nname='claims'\nprefix='/claims/'\nonce=true\n",
 		"workspaces": fmt.Sprintf("[[workspace]]\nname='w1'\nrate=1e6\nburst=1e6\n[[workspace.key]]\nid='k1'\nhash='%s'\n",
 			hex.EncodeToString(hash[:])),
 	}
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -22,20 +22,16 @@
 	if !r.Fresh(r.now) {
 		return started, r.refuse(q, r.stale(), out)
 	}
-	if !r.now.Before(q.deadline) {
+	if r.overdue(q) {
 		return started, r.refuse(q, r.expired(q), out)
 	}
 	w := q.workspace
+	if w.bucket.Tokens(r.now) < q.tokens() {
+		return noToken, out
+	}
 	if q.service.Once && !q.claimed {
-		// A claim needs a token of its own, so that claims do not outrun the rate.
-		if w.bucket.Tokens(r.now) < float64(1+w.claiming) {
-			return noToken, out
-		}
 		return started, r.beginClaim(q, out)
 	}
-	if w.bucket.Tokens(r.now) < 1 {
-		return noToken, out
-	}
 	e, s := r.choose(q)
 	if e == nil {
 		if q.attempt > 0 {
@@ -53,6 +49,22 @@
 	return started, r.dispatch(q, e, out)
 }
 
+// tokens returns how many tokens must be there for the request to go on. One
+// token is kept for each claim under way, so that claims do not outrun the rate
+// and so that idempotent requests, which need no claim, do not take the tokens
+// in the time that a claim takes.
+func (q *request) tokens() float64 {
+	w := q.workspace
+	kept := float64(w.claiming + w.promised)
+	switch {
+	case q.claimed:
+		return 1
+	case q.service.Once:
+		return 1 + kept
+	}
+	return math.Max(1, math.Min(1+kept, math.Floor(w.share.GetBurst())))
+}
+
 func (r *Router) beginClaim(q *request, out []Effect) []Effect {
 	r.unqueue(q)
 	q.state = claiming
@@ -69,7 +81,9 @@
 	r.timers.remove(q)
 	e.take(r.now)
 	q.state, q.endpoint, q.region = sent, e, e.region
-	q.tried[q.attempt] = e
+	q.sentAt = r.now
+	again := q.again && q.triedAt(e)
+	q.tried[q.attempt], q.again = e, false
 	q.attempt++
 	if q.attempt == 1 {
 		r.stats.Sent++
@@ -90,6 +104,7 @@
 		Once:        q.service.Once,
 		Body:        q.service.Body,
 		Linked:      e.region.out != nil || e.region.back != nil,
+		Again:       again,
 		Deadline:    q.deadline,
 	}
 	return append(out, &q.send)
@@ -107,7 +122,7 @@
 	start := min(s.start, len(s.endpoints))
 	for _, part := range [2][]*endpoint{s.endpoints[start:], s.endpoints[:start]} {
 		for _, e := range part {
-			if !e.free() || q.attempt > 0 && q.triedAt(e) || to != nil && !to.to(e) {
+			if !e.free() || q.excludes(e) || to != nil && !to.to(e) {
 				continue
 			}
 			if k := e.rank(r.now, lowest); k < lowest {
@@ -157,6 +172,7 @@
 	at.conns.Release()
 	q.region.counter.Release()
 	q.endpoint, q.region, q.state = nil, nil, 0
+	r.sample(q, at, e)
 	switch e.Outcome {
 	case Answered:
 		at.failures.succeeded()
@@ -207,9 +223,11 @@
 	return r.refuse(q, notRun(fault.Upstream, "upstream", string(at.address), "upstream failed before it answered"), out)
 }
 
-// mayRetry reports whether another endpoint, of which this VM has a share, may get the request.
+// mayRetry reports whether another endpoint, of which this VM has a share, may
+// get the request. Where there is none, the same endpoint may get it again after
+// a break of a reused connection, which an upstream that restarted causes.
 func (r *Router) mayRetry(q *request, e *Ended) bool {
-	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(q.deadline) {
+	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(r.latestStart(q)) {
 		return false
 	}
 	for _, other := range q.service.endpoints {
@@ -217,5 +235,6 @@
 			return true
 		}
 	}
-	return false
+	q.again = e.Reused && (e.Outcome == Unsent || e.Outcome == Broken) && q.tried[q.attempt-1].slots.Share() > 0
+	return q.again
 }
--- a/load/report/report.go
+++ b/load/report/report.go
@@ -163,6 +163,12 @@
 // is what its answers fall short of the entitlement.
 func (r *Report) workspaces(samples []Sample, entitlements []Entitlement) {
 	r.Worst.Served = 1
+	answeredRepeats := make(map[string]bool)
+	for i := range samples {
+		if samples[i].Repeat && samples[i].Kind == Answered {
+			answeredRepeats[samples[i].Request] = true
+		}
+	}
 	for _, e := range entitlements {
 		w := Workspace{Entitlement: e, Served: 1}
 		var offered []time.Duration
@@ -171,10 +177,10 @@
 				continue
 			}
 			offered = append(offered, samples[i].Intended)
-			switch samples[i].Kind {
-			case Answered:
+			switch {
+			case samples[i].Kind == Answered || samples[i].duePending(answeredRepeats):
 				w.Answered++
-			case Refused:
+			case samples[i].Kind == Refused:
 				w.Refused++
 			}
 		}
--- a/load/report/runs.go
+++ b/load/report/runs.go
@@ -11,6 +11,7 @@
 
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/load/answer"
 	"cuminfall.example/load/upstream"
 )
 
@@ -46,6 +47,7 @@
 		}
 	}
 	ran := make(map[string]int)
+	ranFor := make(map[string]bool) // by request and whether it was the repetition that ran
 	started := make(map[ident.Workspace][]time.Time)
 	seen := make(map[string]bool)
 	for i := range runs {
@@ -57,6 +59,7 @@
 		r.Count++
 		if run.Outcome != upstream.Partial {
 			ran[run.Request]++
+			ranFor[sender(run.Request, answer.Repeated(run.Attempt))] = true
 		}
 		if run.Workspace != s.Workspace {
 			r.Foreign = append(r.Foreign, run.Request)
@@ -75,8 +78,11 @@
 		if s.Once && n > 1 {
 			r.Doubles = append(r.Doubles, id)
 		}
-		if s.Kind == Refused && s.Run == fault.NotRun {
-			r.Untrue = append(r.Untrue, id)
+	}
+	for i := range samples {
+		s := &samples[i]
+		if s.Kind == Refused && s.Run == fault.NotRun && ranFor[sender(s.Request, s.Repeat)] {
+			r.Untrue = append(r.Untrue, s.Request)
 		}
 	}
 	sort.Strings(r.Doubles)
@@ -85,6 +91,15 @@
 	return r
 }
 
+// sender tells a request from its deliberate repetition, which has the same id: a
+// repetition that was not run says nothing about the first.
+func sender(request string, repeat bool) string {
+	if repeat {
+		return request + "/repeat"
+	}
+	return request
+}
+
 func (r *Runs) excess(started map[ident.Workspace][]time.Time, entitlements []Entitlement, slack time.Duration) {
 	for _, e := range entitlements {
 		times := started[e.Workspace]
@@ -96,6 +111,37 @@
 	}
 }
 
+// Peak returns the most runs at the same time, over all endpoints that chosen admits.
+// A run that ends at the moment at which another starts does not overlap with it.
+func Peak(runs []upstream.Run, chosen func(ident.Address) bool) int {
+	type edge struct {
+		at   time.Time
+		step int
+	}
+	var edges []edge
+	for i := range runs {
+		if !chosen(runs[i].Endpoint) {
+			continue
+		}
+		edges = append(edges, edge{runs[i].Start, 1})
+		if !runs[i].End.IsZero() {
+			edges = append(edges, edge{runs[i].End, -1})
+		}
+	}
+	sort.Slice(edges, func(i, j int) bool {
+		if edges[i].at.Equal(edges[j].at) {
+			return edges[i].step < edges[j].step
+		}
+		return edges[i].at.Before(edges[j].at)
+	})
+	level, most := 0, 0
+	for _, e := range edges {
+		level += e.step
+		most = max(most, level)
+	}
+	return most
+}
+
 // Stands are the admin addresses of the processes with stand-in endpoints.
 type Stands struct {
 	Addresses []string
--- a/load/report/sample.go
+++ b/load/report/sample.go
@@ -40,6 +40,12 @@
 	Path      string          `json:"path,omitempty"` // where paths alternate within a run
 }
 
+// duePending reports whether the request heard, as it should, that the other one with its idempotency
+// key still runs. The first request hears it where its repetition, which was then answered, overtook it.
+func (s *Sample) duePending(answeredRepeats map[string]bool) bool {
+	return s.Kind == Refused && s.Code == fault.Pending && (s.Repeat || answeredRepeats[s.Request])
+}
+
 // Entitlement is what a workspace may use over the whole fleet.
 type Entitlement struct {
 	Workspace ident.Workspace   `json:"workspace"`
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -17,11 +17,14 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/load/relay"
+	"cuminfall.example/load/upstream"
 )
 
 // Last octets and ports of a script's network.
 const (
+	firstNet     = 20
 	firstControl = 10
 	firstEntry   = 30
 	upstreamHost = 60
@@ -49,21 +52,27 @@
 type fleet struct {
 	dir      string
 	net      int
+	guard    net.Listener // keeps the network reserved
 	procs    map[string]*process
 	order    []string
 	fronts   map[string]*relay.Front
 	traffics map[string]*traffic
 	client   *http.Client
+	before   map[ident.Address]upstream.Status // at the last check of the record
 }
 
-func newFleet(dir string, net int) *fleet {
+func newFleet(dir string) (*fleet, error) {
+	n, guard, err := network()
+	if err != nil {
+		return nil, err
+	}
 	return &fleet{
-		dir: dir, net: net, procs: map[string]*process{}, fronts: map[string]*relay.Front{},
+		dir: dir, net: n, guard: guard, procs: map[string]*process{}, fronts: map[string]*relay.Front{},
 		traffics: map[string]*traffic{}, client: &http.Client{Timeout: 30 * time.Second},
-	}
+	}, nil
 }
 
-func (f *fleet) host(last int) string { return fmt.Sprintf("127.%d.0.%d", 20+f.net, last) }
+func (f *fleet) host(last int) string { return fmt.Sprintf("127.%d.0.%d", firstNet+f.net, last) }
 
 func (f *fleet) controls() string {
 	list := make([]string, 3)
@@ -91,7 +100,7 @@
 		return err
 	}
 	for i := 1; i <= 3; i++ {
-		if err := f.add("control", i, firstControl+i, fmt.Sprintf("data = %q\npeers = %s\n", filepath.Join(f.dir, fmt.Sprintf("control%d", i)), quote(f.controls()))); err != nil {
+		if err := f.add("control", i, firstControl+i, fmt.Sprintf("data = %q\npeers = %s\n%s", filepath.Join(f.dir, fmt.Sprintf("control%d", i)), quote(f.controls()), strings.ReplaceAll(p["control"], ";", "\n"))); err != nil {
 			return err
 		}
 	}
@@ -339,6 +348,7 @@
 	for _, front := range f.fronts {
 		front.Stop()
 	}
+	f.guard.Close()
 }
 
 // links returns the links between two processes in both directions.
@@ -364,6 +374,3 @@
 	}
 	return list, nil
 }
-
-// asOp reports whether a network operation's error is within err.
-func asOp(err error, op **net.OpError) bool { return errors.As(err, op) }
