--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -272,6 +272,13 @@
 	return list
 }
 
+// soFar returns the answers that have come.
+func (t *traffic) soFar() []answer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]answer(nil), t.answers...)
+}
+
 // tally counts answers: all, ok, notrun, unknown, failed, broken, each refusal code, crossed (a whole
 // answer that is not to its request), and the slowest in milliseconds.
 func (t *traffic) tally() map[string]int {
@@ -430,7 +437,7 @@
 		}
 	}
 	for name, t := range f.traffics {
-		for _, a := range t.answers {
+		for _, a := range t.soFar() {
 			// A refusal speaks of its own attempt only.
 			if (a.attempts == 0 || a.attempts == 1 && a.run == fault.NotRun) && byRequest[a.request] > 0 {
 				ts.Fatalf("%s: %s, but it ran", name, a)
