--- a/control/server/server.go
+++ b/control/server/server.go
@@ -39,7 +39,7 @@
 }
 
 // DefaultTimings are the timings of the design.
-var DefaultTimings = Timings{Lease: 3 * time.Second, Plan: 200 * time.Millisecond, Suspect: 3 * time.Second, Offline: 30 * time.Second}
+var DefaultTimings = Timings{Lease: 1200 * time.Millisecond, Plan: 200 * time.Millisecond, Suspect: 3 * time.Second, Offline: 30 * time.Second}
 
 // lapse is how long after its last reply a lease counts as lapsed. The margin
 // of 2.5% covers a holder's clock that is 1% slow and a leader's that is 1%
