gateway, server: bound a planned stop without control

Cause, from a trial that stopped a whole deployment at once: control was gone after 1.5 s, and the leave messages of the upstreams each waited 3 s at every entry VM for a commit that could not come. A VM whose last such message began shortly before its end waited for it. Kept-alive connections were not the cause of this; the last Sync failed at once, but could take 2 s against a silent group, and giving up claims could take 30 s.

During a stop, announcements wait 0.5 s for control, and giving up claims and returning shares 1 s together. The last exchange says that the VM has ended; control then releases its shares at once and no earlier exchange renews them.

Idle caller connections are closed during the stop by ending the sending side and discarding what arrives, so a request on its way sees an orderly end. A request whose first byte arrived before is served. Answers that are begun after the stop carry Connection: close also when their request came before it.

--- a/control/server/lending_test.go
+++ b/control/server/lending_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"cuminfall.example/control/ledger"
@@ -253,3 +254,24 @@
 		t.Fatalf("spent %g in 20 s, want at least %g", s.spent[workspace], least)
 	}
 }
+
+// TestEndedReturnsShares guards against shares that a stopped VM keeps for the
+// rest of its lease, and against an exchange that renews them afterwards.
+func TestEndedReturnsShares(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 0, 0, 0)
+	s.setUp(2)
+	s.run(t, 2*time.Second)
+	a, l := s.holders[0], s.leader
+	h := ledger.Holder{VM: ident.VM(a.vm), Incarnation: ident.Incarnation(a.incarnation)}
+	is.True(len(l.ledger.Allotments(h)) > 0)
+	ask := &rpc.SyncRequest{Vm: a.vm, Incarnation: a.incarnation, Address: "10.0.1.1:80", Domain: "d1", Ended: true}
+	for range 2 { // the first answer may be lost
+		reply, err := l.server.Sync(context.Background(), ask)
+		is.NoErr(err)
+		is.Equal(reply.GetLeaseMs(), int64(0))
+		is.Equal(l.ledger.Entered(h), ident.Index(0))
+		_, present := l.ledger.Current(h)
+		is.True(!present) // lookups no longer name it
+	}
+}
--- a/control/server/session.go
+++ b/control/server/session.go
@@ -28,6 +28,9 @@
 		s.refused(fault.Of(err))
 		return nil, err
 	}
+	if r.GetEnded() {
+		return s.end(ctx, term, r)
+	}
 	// The session is noted before the registration, so that the planner does
 	// not take a holder that just registered again for one that lapsed.
 	s.mu.Lock()
@@ -67,6 +70,25 @@
 	return reply, nil
 }
 
+// end releases the shares of a VM that spends nothing any more. A repeat whose
+// release is committed already succeeds as well.
+func (s *Server) end(ctx context.Context, term ident.Term, r *rpc.SyncRequest) (*rpc.SyncReply, error) {
+	h := ledger.Holder{VM: ident.VM(r.GetVm()), Incarnation: ident.Incarnation(r.GetIncarnation())}
+	var entered ident.Index
+	s.replica.View(func() { entered = s.ledger.Entered(h) })
+	if entered > 0 {
+		s.mu.Lock()
+		s.soft.released[h] = entered // no late exchange renews the lease
+		s.mu.Unlock()
+		release := &wire.Lend_Release{Holder: wireHolder(h), Entered: uint64(entered)}
+		if _, err := s.propose(ctx, "sync", ledger.Lend{Lend: &wire.Lend{Releases: []*wire.Lend_Release{release}}}); err != nil {
+			return nil, err
+		}
+		s.wake()
+	}
+	return &rpc.SyncReply{Term: uint64(term)}, nil
+}
+
 func checkSync(r *rpc.SyncRequest) error {
 	if !settings.ValidName(r.GetVm()) || r.GetIncarnation() == 0 {
 		return fault.New(fault.Invalid, "sync", r.GetVm(), "vm must be a name and incarnation above 0")
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -75,6 +75,7 @@
 	added   metrics.Histogram // whole requests less the wait for the upstream, microseconds
 	poke    chan struct{}
 	closing atomic.Bool // answers ask callers to close their connections
+	ended   atomic.Bool // no request is left and none is accepted
 	work    sync.WaitGroup
 	serial  atomic.Uint64 // of claim tokens
 
@@ -141,8 +142,24 @@
 	}
 }
 
-// Wait returns after the background work of finished requests, such as abandoning claims, has ended.
-func (g *Gateway) Wait() { g.work.Wait() }
+// Wait returns after the background work of finished requests, such as
+// abandoning claims, has ended, or once ctx ends. A claim that was not given up
+// by then stays pending, which refuses a resend and runs nothing.
+func (g *Gateway) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.work.Wait()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// End makes the next sync say that this VM spends nothing any more. It is
+// called after the last request has ended.
+func (g *Gateway) End() { g.ended.Store(true) }
 
 // Leave begins a planned stop: the next sync says that this VM leaves, and
 // answers ask callers to close their connections.
@@ -181,7 +198,7 @@
 	defer g.mu.Unlock()
 	r.Vm, r.Incarnation = string(g.VM), uint64(g.Incarnation)
 	r.Address, r.Domain = string(g.Address), string(g.Domain)
-	r.Leaving = g.Router.Leaving()
+	r.Leaving, r.Ended = g.Router.Leaving(), g.ended.Load()
 	r.Held = g.Router.Held()
 	r.Demands = g.Router.Demands(g.Clock.Now(), nil)
 	g.reported = g.reported[:0]
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -100,6 +100,7 @@
 	control *fakeControl
 	url     string
 	server  *http.Server
+	callers *Listener
 	index   uint64
 }
 
@@ -117,12 +118,13 @@
 	b.sync(upstreams)
 	l, err := Listen(ctx, "127.0.0.1:0", 10*time.Second)
 	b.NoErr(err)
+	b.callers = l
 	b.url = "http://" + l.Addr().String()
 	b.server = Server(b.gateway)
 	go func() { _ = b.server.Serve(l) }()
 	t.Cleanup(func() {
 		_ = b.server.Close()
-		b.gateway.Wait()
+		b.gateway.Wait(context.Background())
 		b.gateway.Forward.Close()
 		cancel()
 		<-ended
--- a/entry/gateway/listen.go
+++ b/entry/gateway/listen.go
@@ -21,7 +21,7 @@
 
 // Listen opens the callers' listener. Its connections end when the caller's
 // host confirms nothing for the time of silence; a caller that is only slow is kept.
-func Listen(ctx context.Context, address ident.Address, silence time.Duration) (net.Listener, error) {
+func Listen(ctx context.Context, address ident.Address, silence time.Duration) (*Listener, error) {
 	c := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: silence / 2, Interval: silence / 4, Count: 2},
 		Control: func(network, addr string, raw syscall.RawConn) error {
@@ -30,13 +30,16 @@
 		},
 	}
 	l, err := c.Listen(ctx, "tcp", string(address))
-	return l, fault.Wrap(err, fault.Internal, "listen", string(address))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "listen", string(address))
+	}
+	return &Listener{TCPListener: l.(*net.TCPListener), open: make(map[*callerConn]struct{})}, nil
 }
 
 // Server returns the HTTP server of a gateway.
 func Server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: headMost,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, ConnState: note,
 	}
 }
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -244,8 +244,9 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // the server would guess one
 	}
-	if !c.finished.Load() {
-		// The rest of the body will not be read, so the connection cannot serve another request.
+	if !c.finished.Load() || g.closing.Load() {
+		// The rest of the body will not be read, so the connection cannot serve
+		// another request; or a stop began while this one was served.
 		h["Connection"] = []string{"close"}
 	}
 	if x.Length != 0 {
@@ -297,5 +298,8 @@
 	if !c.finished.Load() {
 		c.skipBody(g.Clock.Now())
 	}
+	if g.closing.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
 	writeFault(c.w, f, true)
 }
--- a/entry/gateway/run/run.go
+++ b/entry/gateway/run/run.go
@@ -37,8 +37,16 @@
 // afterLifetime is how much longer than a lookup's lifetime a stopping VM serves.
 const afterLifetime = time.Second
 
-// lastSync bounds the exchange in which a stopping VM returns its shares.
-const lastSync = 2 * time.Second
+// farewellWait bounds what a stopping VM still wants from control: giving up
+// claims and returning its shares. A stop must not depend on control.
+const farewellWait = time.Second
+
+// Closing of callers' idle connections during a planned stop.
+const (
+	sweepEvery = 100 * time.Millisecond
+	quietCalls = 10 // sweeps without a request after which a connection is closed
+	endWait    = 500 * time.Millisecond
+)
 
 // Options configures the command.
 type Options struct {
@@ -146,7 +154,7 @@
 	c.log.WithField("name", c.settings.Name).WithField("address", c.settings.Address).Info("serving")
 	select {
 	case <-ctx.Done():
-		err = c.stop(work, server)
+		err = c.stop(work, server, callers, endSync)
 	case err = <-failed:
 	}
 	endSync()
@@ -191,26 +199,60 @@
 }
 
 // stop ends service without interrupting a request.
-func (c *Command) stop(ctx context.Context, server *http.Server) error {
+func (c *Command) stop(ctx context.Context, server *http.Server, callers *gateway.Listener, endSync func()) error {
 	c.log.Info("leaving")
 	c.gateway.Leave()
 	// Callers may use the lookups that they hold until these expire.
-	if err := clock.Sleep(ctx, c.Clock, c.gateway.Lifetime()+afterLifetime); err != nil {
-		return errors.WithStack(err)
+	until := c.Clock.Now().Add(c.gateway.Lifetime() + afterLifetime)
+	for c.Clock.Now().Before(until) {
+		if err := c.sweep(ctx, callers, quietCalls); err != nil {
+			return err
+		}
+	}
+	// The server would reset what is on its way on connections that it closes as idle.
+	last := c.Clock.Now().Add(endWait)
+	for callers.CloseIdle(c.Clock.Now(), 1) > 0 && c.Clock.Now().Before(last) {
+		if err := clock.Sleep(ctx, c.Clock, sweepEvery/10); err != nil {
+			return errors.WithStack(err)
+		}
 	}
 	// In-flight requests have their own deadlines, so the wait needs none.
-	if err := server.Shutdown(ctx); err != nil {
+	if err := c.shutdown(ctx, server, callers); err != nil {
 		return fault.Wrap(err, fault.Internal, "shut down", c.settings.Address)
 	}
-	c.gateway.Wait()
-	last, stop := context.WithTimeout(ctx, lastSync)
+	endSync()
+	farewell, stop := context.WithTimeout(ctx, farewellWait)
 	defer stop()
-	if err := c.session.Sync(last, c.gateway); err != nil {
+	c.gateway.Wait(farewell)
+	// Upstreams' connections are shares too, and are closed before they are returned.
+	c.forward.Close()
+	c.gateway.End()
+	if err := c.session.End(farewell, c.gateway); err != nil {
 		c.log.WithError(err).Warn("shares are not returned; their lease ends by itself")
 	}
 	c.log.Info("stopped")
 	return nil
 }
 
+func (c *Command) sweep(ctx context.Context, callers *gateway.Listener, calls int) error {
+	callers.CloseIdle(c.Clock.Now(), calls)
+	return errors.WithStack(clock.Sleep(ctx, c.Clock, sweepEvery))
+}
+
+// shutdown ends the server. It goes on closing new connections without a
+// request, for which the server alone would wait up to 5 s.
+func (c *Command) shutdown(ctx context.Context, server *http.Server, callers *gateway.Listener) error {
+	done := make(chan error, 1)
+	go func() { done <- server.Shutdown(ctx) }()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-c.Clock.After(sweepEvery):
+			callers.CloseIdle(c.Clock.Now(), 1)
+		}
+	}
+}
+
 // name turns a field's name into a metric's.
 func name(group, field string) string { return group + "." + strings.ToLower(field) }
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -20,6 +20,20 @@
 // controlWait bounds calls that control commits; it spans one election.
 const controlWait = 3 * time.Second
 
+// stopWait replaces controlWait during a planned stop, so that a stop of the
+// whole fleet does not wait for a control group that is gone. An upstream that
+// gets no answer asks the next VM.
+const stopWait = 500 * time.Millisecond
+
+// commitBy returns until when a call that control commits is tried.
+func (g *Gateway) commitBy() time.Time {
+	wait := controlWait
+	if g.closing.Load() {
+		wait = stopWait
+	}
+	return g.Clock.Now().Add(wait)
+}
+
 // messageMost is the largest body of the system's own calls.
 const messageMost = 16 << 10
 
@@ -160,7 +174,7 @@
 		g.reject(w, f)
 		return
 	}
-	index, err := g.Control.Announce(r.Context(), g.Clock.Now().Add(controlWait), &rpc.Upstream{
+	index, err := g.Control.Announce(r.Context(), g.commitBy(), &rpc.Upstream{
 		Service: string(a.Service), Address: string(a.Address), Domain: string(a.Domain), Slots: uint32(a.Slots),
 		Connections: uint32(a.Connections), Incarnation: uint64(a.Incarnation), Leaving: leaving, Load: a.Load,
 	})
@@ -228,7 +242,7 @@
 		g.reject(w, fault.New(fault.Invalid, "verdict", r.RemoteAddr, "target, kind, id and state up or down are required"))
 		return
 	}
-	index, err := g.Control.Judge(r.Context(), g.Clock.Now().Add(controlWait), &rpc.JudgeRequest{
+	index, err := g.Control.Judge(r.Context(), g.commitBy(), &rpc.JudgeRequest{
 		Verdict:    &rpc.Verdict{Kind: v.Kind, Target: v.Target, Down: v.State == "down", Id: v.ID},
 		Credential: strings.TrimSpace(secret),
 	})
--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -167,6 +167,19 @@
 	return nil
 }
 
+// End makes the last exchange of a VM that has stopped; it takes one pass over the members.
+func (s *Session) End(ctx context.Context, source Source) error {
+	s.mu.Lock()
+	tries := len(s.peers) + 1
+	s.mu.Unlock()
+	return s.follow(ctx, tries, func(ctx context.Context, c rpc.Session) error {
+		request := new(rpc.SyncRequest)
+		source.Report(request)
+		_, err := c.Sync(ctx, request)
+		return err
+	})
+}
+
 // note logs the first failure of a run of failures, and its end.
 func (s *Session) note(err error) {
 	s.mu.Lock()
