--- a/load/nodes/session.go
+++ b/load/nodes/session.go
@@ -20,7 +20,7 @@
 )
 
 // timeout bounds one exchange, as in entry sessions.
-const timeout = time.Second
+const timeout = 800 * time.Millisecond
 
 // traffic counts bytes on the connections of all sessions, HTTP headers included.
 type traffic struct{ sent, received atomic.Int64 }
