forward: check echoed request ids

Each attempt carries Cuminfall-Request, unique over all VMs (the process's incarnation and a serial number). An answer, also an informational one, that echoes another id closes the connection and counts as broken, so an idempotent request is retried elsewhere and another one is answered unknown; nothing of the answer is passed on. An upstream without the echo works as before. The counter forward.crossed shows how often it happened. The stand-in upstream echoes the id, and its cross fault crosses it with the answer.

Tests: TestCrossedAnswer fails without the check and with a repeated serial; load's TestCrossedAnswers fails without the stand-in's echo.

--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -23,6 +23,7 @@
 	Elapsed time.Duration
 
 	c        *conn
+	id       attemptID
 	r        *Request
 	ctx      context.Context
 	stop     func() bool
@@ -77,7 +78,7 @@
 // send writes the head, and the body unless it is streamed.
 func (x *Exchange) send() error {
 	r := x.r
-	x.c.out = appendHead(x.c.out[:0], r, r.Deadline.Sub(x.c.now()))
+	x.c.out = appendHead(x.c.out[:0], r, x.id, r.Deadline.Sub(x.c.now()))
 	whole := r.Whole
 	if r.Stream == nil && len(whole) > 0 {
 		if err := x.pace(len(whole), false); err != nil {
@@ -203,6 +204,10 @@
 		if err != nil {
 			return x.failed(err)
 		}
+		if !x.id.echoed(answer.Header) {
+			x.c.pool.client.Stats.Crossed.Add(1)
+			return x.failed(errors.New("answer belongs to another request"))
+		}
 		if answer.StatusCode >= 200 {
 			x.Elapsed = x.c.now().Sub(began)
 			return x.accept(answer)
@@ -228,6 +233,7 @@
 		x.complete = true
 	}
 	StripHop(answer.Header)
+	delete(answer.Header, IDHeader)
 	x.Header = answer.Header
 	x.c.inBody = true
 	return nil
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -16,6 +16,7 @@
 
 // Options configures a Client; zero durations mean the defaults.
 type Options struct {
+	Origin  uint64   // sets the attempts of this process apart from those of others
 	Source  net.Addr // of connections to upstreams; nil lets the host choose
 	Clock   clock.Clock
 	Silence time.Duration // without progress, after which a connection is checked; 10 s by default
@@ -37,10 +38,13 @@
 	Stale   atomic.Int64 // idle connections found closed or with unexpected bytes
 	Silent  atomic.Int64 // connections closed because they went silent
 	Limited atomic.Int64 // requests without a connection because of the limit
+	Crossed atomic.Int64 // answers that carried the id of another attempt
 }
 
 // Client sends requests to upstreams.
 type Client struct {
+	origin  uint64
+	serial  atomic.Uint64 // of the last attempt
 	source  net.Addr
 	Stats   Stats
 	clock   clock.Clock
@@ -53,7 +57,7 @@
 
 // New returns a client that knows no endpoint yet.
 func New(o Options) *Client {
-	c := &Client{source: o.Source, clock: o.Clock, silence: o.Silence, dial: o.Dial, idle: o.Idle, pools: make(map[ident.Address]*pool)}
+	c := &Client{origin: o.Origin, source: o.Source, clock: o.Clock, silence: o.Silence, dial: o.Dial, idle: o.Idle, pools: make(map[ident.Address]*pool)}
 	if c.clock == nil {
 		c.clock = clock.System{}
 	}
@@ -187,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &Exchange{c: cn, r: r, ctx: ctx}
+	x := &Exchange{c: cn, r: r, ctx: ctx, id: attemptID{c.origin, c.serial.Add(1)}}
 	cn.begin(x, r.Deadline)
 	x.stop = context.AfterFunc(ctx, x.cancel)
 	if err := x.send(); err != nil {
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -503,3 +503,55 @@
 	is.NoErr(x.pace(25, false))
 	is.Equal(moved, 25)
 }
+
+// Guards against an answer of another request that is passed on, and against
+// upstreams without the echo, which must work.
+func TestCrossedAnswer(t *testing.T) {
+	var last atomic.Value
+	for _, c := range []struct {
+		name  string
+		heads func(id string) string
+		body  string // of the answer, or "" for a failure
+	}{
+		{"own id", func(id string) string { return "HTTP/1.1 200 OK\r\nCuminfall-Request: " + id + "\r\n" }, "ok"},
+		{"no echo", func(string) string { return "HTTP/1.1 200 OK\r\n" }, "ok"},
+		{"another id", func(id string) string { return "HTTP/1.1 200 OK\r\nCuminfall-Request: " + id + "0\r\n" }, ""},
+		{"empty id", func(string) string { return "HTTP/1.1 200 OK\r\nCuminfall-Request:\r\n" }, ""},
+		{"two ids", func(id string) string {
+			return "HTTP/1.1 200 OK\r\ncuminfall-request: " + id + "\r\nCuminfall-Request: 1-1\r\n"
+		}, ""},
+		{"another id before the final answer", func(string) string {
+			return "HTTP/1.1 103 Early Hints\r\nCuminfall-Request: 1-1\r\n\r\nHTTP/1.1 200 OK\r\n"
+		}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			u := newUpstream(t, func(u *fakeUpstream, conn net.Conn, in *bufio.Reader, _ int32) {
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						u.closed <- struct{}{}
+						return
+					}
+					last.Store(r.Header.Get("Cuminfall-Request"))
+					fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nok", c.heads(last.Load().(string)))
+				}
+			})
+			client := u.client(t, 4)
+			before := ""
+			for range 2 {
+				body, f := fetch(context.Background(), client, u.request("/a", time.Second))
+				id := last.Load().(string)
+				u.True(id != "" && id != before) // unique per attempt
+				before = id
+				u.Equal(body, c.body)
+				u.Equal(f == nil, c.body != "")
+				if f != nil {
+					u.Equal(f.Reason, Broken)
+					u.True(f.Sent)
+					<-u.closed
+				}
+			}
+			u.Equal(client.Stats.Reused.Load() == 1, c.body != "")
+		})
+	}
+}
--- a/entry/forward/head.go
+++ b/entry/forward/head.go
@@ -13,6 +13,7 @@
 	WorkspaceHeader = "Cuminfall-Workspace"
 	RunHeader       = "Cuminfall-Run"
 	TimeoutHeader   = "Request-Timeout"
+	IDHeader        = "Cuminfall-Request" // unique per attempt; upstreams may echo it
 	ownPrefix       = "Cuminfall-"
 )
 
@@ -62,9 +63,32 @@
 	return false
 }
 
+// attemptID tells attempts of all VMs apart.
+type attemptID struct {
+	origin uint64 // of the process
+	serial uint64 // within the process, from 1
+}
+
+func (id attemptID) appendTo(b []byte) []byte {
+	b = strconv.AppendUint(b, id.origin, 16)
+	return strconv.AppendUint(append(b, '-'), id.serial, 16)
+}
+
+// echoed reports whether an answer's head carries the id, or none at all.
+func (id attemptID) echoed(h http.Header) bool {
+	var space [40]byte
+	want := id.appendTo(space[:0])
+	for _, v := range h[IDHeader] {
+		if v != string(want) {
+			return false
+		}
+	}
+	return true
+}
+
 // appendHead writes the head of r; net/http's server has already refused line
 // ends and other control characters in all of the caller's parts.
-func appendHead(b []byte, r *Request, left time.Duration) []byte {
+func appendHead(b []byte, r *Request, id attemptID, left time.Duration) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -80,6 +104,9 @@
 		}
 	}
 	b = appendField(b, WorkspaceHeader, string(r.Workspace))
+	b = append(b, IDHeader+": "...)
+	b = id.appendTo(b)
+	b = append(b, "\r\n"...)
 	// Rounded up, so that a short rest does not become 0.
 	left = (left + time.Millisecond - 1).Truncate(time.Millisecond)
 	b = append(b, TimeoutHeader+": "...)
--- a/entry/gateway/run/run.go
+++ b/entry/gateway/run/run.go
@@ -180,7 +180,9 @@
 	for i, a := range s.Control {
 		control[i] = ident.Address(a)
 	}
-	c.forward = forward.New(forward.Options{Source: process.Source(s.bind()), Clock: c.Clock, Silence: s.Silence, Dial: s.Dial})
+	c.forward = forward.New(forward.Options{
+		Origin: incarnation, Source: process.Source(s.bind()), Clock: c.Clock, Silence: s.Silence, Dial: s.Dial,
+	})
 	c.session = session.New(session.Options{
 		Source: process.Source(s.bind()),
 		Clock:  c.Clock, Log: c.log, Control: control, Seed: int64(incarnation), Period: s.Sync, Timeout: s.Timeout,
--- a/load/upstream/fault.go
+++ b/load/upstream/fault.go
@@ -104,18 +104,18 @@
 // crossWait bounds how long an answer waits for another to change places with.
 const crossWait = time.Second
 
-// cross exchanges text with that of another request that is waiting for the
+// cross exchanges a response with that of another request that is waiting for the
 // same; without one within crossWait it keeps its own.
-func (e *Endpoint) cross(text []byte) []byte {
-	mine := make(chan []byte, 1)
+func (e *Endpoint) cross(out response) response {
+	mine := make(chan response, 1)
 	e.mu.Lock()
 	if other := e.waiting; other != nil {
 		e.waiting = nil
 		e.mu.Unlock()
-		other.answer <- text
-		return other.text
+		other.answer <- out
+		return other.out
 	}
-	pair := &exchange{text: text, answer: mine}
+	pair := &exchange{out: out, answer: mine}
 	e.waiting = pair
 	e.mu.Unlock()
 	select {
@@ -127,13 +127,19 @@
 	defer e.mu.Unlock()
 	if e.waiting == pair {
 		e.waiting = nil
-		return text
+		return out
 	}
 	return <-mine
 }
 
+// response is an answer's text with the id of the attempt that it belongs to.
+type response struct {
+	text []byte
+	id   string
+}
+
 // exchange is an answer that waits for another to change places with.
 type exchange struct {
-	text   []byte
-	answer chan []byte
+	out    response
+	answer chan response
 }
--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -22,6 +22,7 @@
 	runHeader       = "Cuminfall-Run"
 	timeoutHeader   = "Request-Timeout"
 	keyHeader       = "Idempotency-Key"
+	idHeader        = "Cuminfall-Request" // echoed
 )
 
 // ServeHTTP implements http.Handler.
@@ -55,7 +56,7 @@
 	case outcome == Overdue:
 		w.WriteHeader(status)
 	default:
-		e.send(w, text)
+		e.send(w, response{text: text, id: r.Header.Get(idHeader)})
 	}
 }
 
@@ -131,14 +132,18 @@
 }
 
 // send writes the answer, with the faults of that step.
-func (e *Endpoint) send(w http.ResponseWriter, text []byte) {
+func (e *Endpoint) send(w http.ResponseWriter, out response) {
 	if e.hit(Answer) {
 		hangUp(w)
 		return
 	}
 	f := e.present()
 	if f.Cross {
-		text = e.cross(text)
+		out = e.cross(out)
+	}
+	text := out.text
+	if out.id != "" {
+		w.Header().Set(idHeader, out.id)
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/load/upstream/upstream_test.go
+++ b/load/upstream/upstream_test.go
@@ -147,15 +147,15 @@
 	heads := make(chan string, 2)
 	for _, id := range []string{"a", "b"} {
 		go func() {
-			_, text, _ := ask(client, e, id)
+			response, text, _ := ask(client, e, id, idHeader, id)
 			head, _ := answer.Parse(text)
-			heads <- id + " got " + head.Request
+			heads <- id + " got " + head.Request + response.Header.Get(idHeader)
 		}()
 	}
 	got := []string{<-heads, <-heads}
 	is.True(got[0] != got[1])
 	for _, g := range got {
-		is.True(g == "a got b" || g == "b got a")
+		is.True(g == "a got bb" || g == "b got aa")
 	}
 }
 
