gateway: let a refusal reach a caller that still sends

Cause: net/http closes a connection at once when a handler gave up on the body, and the body bytes that arrive then reset it, which can take the answer from the caller. TestRefusals/streamed_body_too_large failed by this.

--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"cuminfall.example/fleet/clock"
 )
 
 // States of a caller's connection.
@@ -57,12 +59,24 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that is closed during a request may
+// still receive its body, which would reset the connection and could take the
+// answer from the caller, so what arrives is discarded for a while first.
 func (c *callerConn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.open, c)
 	c.listener.mu.Unlock()
-	return c.TCPConn.Close()
+	if c.state.Swap(connClosed) != connActive || c.TCPConn.CloseWrite() != nil {
+		return c.TCPConn.Close()
+	}
+	if err := c.TCPConn.SetReadDeadline(clock.System{}.Now().Add(lingerWait)); err != nil {
+		return c.TCPConn.Close()
+	}
+	go func() {
+		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.TCPConn})
+		_ = c.TCPConn.Close()
+	}()
+	return nil
 }
 
 // finish closes the sending side if no request has begun.
