server: leave the loads of upstreams out of replies

Cause: every reply carried the latest load of every upstream, 6.4 of 10.3 KB/s per session with 46 upstreams (docs/CAPACITY.md), and no entry VM read it: limits come from shares, and ranking from observed response times. Measured: the server's tests pass; the bytes per session are to be measured again.

--- a/control/server/session.go
+++ b/control/server/session.go
@@ -55,7 +55,6 @@
 	}
 	s.mu.Lock()
 	now := s.clock.Now()
-	reply.Loads = s.soft.loads(now, s.timings.Suspect)
 	lent = lent && s.soft.reply(now, h, entered)
 	s.mu.Unlock()
 	if !lent {
--- a/control/server/soft.go
+++ b/control/server/soft.go
@@ -34,7 +34,6 @@
 type renewal struct {
 	incarnation ident.Incarnation
 	at          time.Time
-	load        int64
 }
 
 // enter drops what belongs to an earlier term. Leases and renewals count from
@@ -79,7 +78,7 @@
 	if old, ok := s.renewals[a]; ok && old.incarnation > inc {
 		return
 	}
-	s.renewals[a] = renewal{incarnation: inc, at: now, load: n.GetLoad()}
+	s.renewals[a] = renewal{incarnation: inc, at: now}
 }
 
 func usesOf(r *rpc.SyncRequest) []*wire.Use {
@@ -129,17 +128,6 @@
 	return s.since, false
 }
 
-// loads returns the loads that upstreams reported within the given time.
-func (s *soft) loads(now time.Time, within time.Duration) []*rpc.Renewal {
-	var list []*rpc.Renewal
-	for a, r := range s.renewals {
-		if now.Sub(r.at) <= within {
-			list = append(list, &rpc.Renewal{Address: string(a), Incarnation: uint64(r.incarnation), Load: r.load})
-		}
-	}
-	return list
-}
-
 // prune forgets sessions that never registered and releases that took effect.
 func (s *soft) prune(now time.Time, lapse time.Duration, l *ledger.Ledger) {
 	for h, c := range s.sessions {
