--- a/control/server/session.go
+++ b/control/server/session.go
@@ -179,5 +179,6 @@
 	if err != nil {
 		return nil, fault.Twirp(err)
 	}
+	s.wake()
 	return &rpc.JudgeReply{Index: uint64(index.(ident.Index))}, nil
 }
