--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -54,14 +54,6 @@
 	return true
 }
 
-// Return gives back n tokens that were taken and not used.
-func (b *Bucket) Return(now time.Time, n float64) {
-	b.fill(now)
-	if now.Before(b.until) {
-		b.tokens = math.Min(b.burst, b.tokens+n)
-	}
-}
-
 // Ready returns how long it takes until n tokens are there, or false when
 // the share can never hold n.
 func (b *Bucket) Ready(now time.Time, n float64) (time.Duration, bool) {
