gateway: log bad input of routed requests once; test the calls

Cause: design §13 asks for bad input to be logged once, but a refusal of a routed request (key, time-out, size, service, mismatch) was not logged at all. It is now logged at the place that answers it, without the key. Refusals that are not the caller's fault are still counted only.

--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -34,11 +34,13 @@
 
 // fakeControl keeps claims in memory.
 type fakeControl struct {
-	mu        sync.Mutex
-	claims    map[string]*fakeClaim
-	failing   bool          // Complete fails
-	slow      time.Duration // before Claim answers
-	abandoned int
+	mu                 sync.Mutex
+	claims             map[string]*fakeClaim
+	failing            bool          // Complete fails
+	slow               time.Duration // before Claim answers
+	abandoned          int
+	registered, judged []proto.Message
+	refusal            error // of Announce and Judge
 }
 
 type fakeClaim struct {
@@ -85,12 +87,14 @@
 	return nil
 }
 
-func (f *fakeControl) Announce(context.Context, time.Time, *rpc.Upstream) (ident.Index, error) {
-	return 1, nil
+func (f *fakeControl) Announce(_ context.Context, _ time.Time, u *rpc.Upstream) (ident.Index, error) {
+	f.registered = append(f.registered, u)
+	return 5, f.refusal
 }
 
-func (f *fakeControl) Judge(context.Context, time.Time, *rpc.JudgeRequest) (ident.Index, error) {
-	return 1, nil
+func (f *fakeControl) Judge(_ context.Context, _ time.Time, r *rpc.JudgeRequest) (ident.Index, error) {
+	f.judged = append(f.judged, r)
+	return 6, f.refusal
 }
 
 // bench is a gateway with its router, one upstream per service and a caller-facing server.
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -301,5 +301,18 @@
 	if g.closing.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
+	if badInput(f) {
+		g.Log.WithField("step", f.Step).WithField("peer", c.r.RemoteAddr).WithField("code", f.Code).Info(f.Message)
+	}
 	writeFault(c.w, f, true)
 }
+
+// badInput reports whether the fault is the caller's own. Others, such as a
+// full share, are counted by the router and not logged one by one.
+func badInput(f *fault.Error) bool {
+	switch f.Code {
+	case fault.Invalid, fault.Key, fault.TooLarge, fault.NotFound, fault.Mismatch:
+		return true
+	}
+	return f.Code == fault.Deadline && f.Step == "parse"
+}
