replica, ledger: record joins in the audit trail

Cause: design §5 puts membership changes in the audit trail, but only removals are commands of the ledger; a join is a membership entry of the log, which the ledger never saw. The replica now tells its machine, at the place of that entry in the log, which members joined or came back with another identity or address, and the ledger records them. Promotions and the first set, which control init writes without a wall clock, are not recorded.

Tests: replica's TestJoined fails when members are compared by name only, ledger's TestJoined when nothing is recorded.

--- a/control/ledger/audit.go
+++ b/control/ledger/audit.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cuminfall.example/control/replica"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/rpc"
 )
@@ -14,3 +15,13 @@
 	}
 	return nil
 }
+
+// Joined implements replica.Machine. A join is by the member's settings and has no operator.
+func (l *Ledger) Joined(e replica.Entry, name string, address ident.Address) {
+	l.index = e.Index
+	l.at = max(l.at, e.At)
+	l.record(&rpc.Change{
+		Index: uint64(l.index), TimeMs: e.Wall.UnixMilli(), Section: "member/" + name,
+		After: "joined at " + string(address), Kind: memberKind,
+	})
+}
--- a/control/ledger/ledger_test.go
+++ b/control/ledger/ledger_test.go
@@ -301,3 +301,19 @@
 	}
 	return lendOf(h, string(id), Amount{Rate: float64(n * 10), Burst: float64(n * 5), Count: uint32(n)})
 }
+
+// TestJoined guards against a join that the audit trail loses, also over a snapshot.
+func TestJoined(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.index++
+	b.Joined(replica.Entry{Index: identIndex(b.index), At: time.Second, Wall: time.Unix(7, 0)}, "c2", "10.0.0.2:1")
+	data, err := b.Snapshot()
+	is.NoErr(err)
+	is.NoErr(b.Restore(data))
+	is.Equal(b.At(), time.Second)
+	last := b.Audit(identIndex(b.index-1), 0)
+	is.Equal(len(last), 1)
+	is.Equal(last[0].GetSection()+" "+last[0].GetAfter()+" "+last[0].GetKind(), "member/c2 joined at 10.0.0.2:1 member")
+	is.Equal(last[0].GetTimeMs(), int64(7000))
+}
--- a/control/replica/machine.go
+++ b/control/replica/machine.go
@@ -18,6 +18,9 @@
 type Machine interface {
 	// Apply performs one entry and returns its result to the proposer.
 	Apply(e Entry) any
+	// Joined notes that a committed entry, which has no data, added a member to
+	// the group, or gave one another identity or address.
+	Joined(e Entry, name string, address ident.Address)
 	// Snapshot serializes the state.
 	Snapshot() ([]byte, error)
 	// Restore replaces the state by a snapshot's.
--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/control/consensus"
+	"cuminfall.example/control/consensus/wire"
 	"cuminfall.example/control/journal"
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
@@ -29,8 +30,9 @@
 	w.List = append(w.List, string(e.Data))
 	return len(w.List)
 }
-func (w *words) Snapshot() ([]byte, error)  { return json.Marshal(w) }
-func (w *words) Restore(state []byte) error { w.List = nil; return json.Unmarshal(state, w) }
+func (w *words) Snapshot() ([]byte, error)           { return json.Marshal(w) }
+func (w *words) Joined(Entry, string, ident.Address) {}
+func (w *words) Restore(state []byte) error          { w.List = nil; return json.Unmarshal(state, w) }
 
 // member is a replica that serves on loopback and can be killed and restarted.
 type member struct {
@@ -242,3 +244,20 @@
 	is.True(!ok)
 	is.True(<-done != nil)
 }
+
+// Guards against a join that the audit trail misses, and against a promotion that it shows as one.
+func TestJoined(t *testing.T) {
+	is := is.New(t)
+	set := func(members ...*wire.Member) *wire.Membership { return &wire.Membership{Members: members} }
+	a := &wire.Member{Id: "1", Name: "a", Address: "h:1", Voter: true}
+	b := &wire.Member{Id: "2", Name: "b", Address: "h:2"}
+	voter := &wire.Member{Id: "2", Name: "b", Address: "h:2", Voter: true}
+	moved := &wire.Member{Id: "2", Name: "b", Address: "h:3", Voter: true}
+	again := &wire.Member{Id: "3", Name: "b", Address: "h:2"}
+	is.Equal(len(joined(nil, set(a))), 0) // made by init
+	is.Equal(joined(set(a), set(a, b)), []*wire.Member{b})
+	is.Equal(len(joined(set(a, b), set(a, voter))), 0)
+	is.Equal(joined(set(a, voter), set(a, moved)), []*wire.Member{moved})
+	is.Equal(joined(set(a, b), set(a, again)), []*wire.Member{again})
+	is.Equal(len(joined(set(a, b), set(a))), 0)
+}
--- a/control/replica/work.go
+++ b/control/replica/work.go
@@ -137,9 +137,11 @@
 	for i, e := range entries {
 		switch e.Kind {
 		case wire.EntryKind_ENTRY_KIND_DATA:
-			results[i] = r.opts.Machine.Apply(Entry{Index: ident.Index(e.Index),
-				At: time.Duration(e.LogMs) * time.Millisecond, Wall: wall(e), Data: e.Data})
+			results[i] = r.opts.Machine.Apply(entryOf(e))
 		case wire.EntryKind_ENTRY_KIND_MEMBERS:
+			for _, m := range joined(a.set, e.Members) {
+				r.opts.Machine.Joined(entryOf(e), m.Name, ident.Address(m.Address))
+			}
 			a.set = e.Members
 		}
 	}
@@ -160,6 +162,29 @@
 	return nil
 }
 
+func entryOf(e *wire.Entry) Entry {
+	return Entry{Index: ident.Index(e.Index), At: time.Duration(e.LogMs) * time.Millisecond, Wall: wall(e), Data: e.Data}
+}
+
+// joined returns the members of a set that an earlier one lacks in this identity
+// and at this address. The first set is made by "control init", which is no join.
+func joined(old, set *wire.Membership) []*wire.Member {
+	var list []*wire.Member
+	if old == nil {
+		return nil
+	}
+	for _, m := range set.GetMembers() {
+		known := false
+		for _, o := range old.GetMembers() {
+			known = known || o.Id == m.Id && o.Address == m.Address
+		}
+		if !known {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 func wall(e *wire.Entry) time.Time {
 	if e.TimeMs == 0 {
 		return time.Time{}
