gateway, forward: retry on a new connection after an old one broke

Cause: the router asks for a new connection when an idempotent request broke on a reused one, and wants to know which attempts did; forward told neither. Change: Failure.Reused and Request.New; a new connection takes the place of an idle one where the limit is reached.

--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -21,11 +21,12 @@
 
 // conn is one connection to an upstream, used by one exchange at a time.
 type conn struct {
-	tcp  *net.TCPConn
-	raw  syscall.RawConn
-	pool *pool
-	in   *bufio.Reader
-	out  []byte // scratch space for heads
+	reused bool // served an earlier request
+	tcp    *net.TCPConn
+	raw    syscall.RawConn
+	pool   *pool
+	in     *bufio.Reader
+	out    []byte // scratch space for heads
 
 	since time.Time // when it became idle
 
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
@@ -83,6 +85,7 @@
 	Header      http.Header // the caller's; not changed
 	Workspace   ident.Workspace
 	Deadline    time.Time
+	New         bool      // on a new connection, because an earlier attempt broke on an old one
 	Whole       []byte    // the whole body, when Stream is nil
 	Stream      io.Reader // the body, read by another goroutine until Close or a failed Do returns
 	Length      int64     // of Stream; -1 when unknown
@@ -113,6 +116,7 @@
 type Failure struct {
 	Reason Reason
 	Sent   bool // a byte was handed to the upstream's connection
+	Reused bool // the connection had served an earlier request
 	Fault  *fault.Error
 }
 
@@ -187,22 +191,26 @@
 	if !c.clock.Now().Before(r.Deadline) {
 		return nil, failure(Late, false, r.Endpoint, fault.Deadline, "deadline passed before the send")
 	}
-	cn, err := p.get(ctx, r.Deadline)
+	cn, err := p.get(ctx, r.Deadline, r.New)
 	if err != nil {
 		return nil, err
 	}
 	x := &Exchange{c: cn, r: r, ctx: ctx, id: attemptID{c.origin, c.serial.Add(1)}}
 	cn.begin(x, r.Deadline)
 	x.stop = context.AfterFunc(ctx, x.cancel)
-	if err := x.send(); err != nil {
-		x.Close()
-		return nil, err
+	err = x.send()
+	if err == nil {
+		err = x.readHead()
 	}
-	if err := x.readHead(); err != nil {
-		x.Close()
-		return nil, err
+	if err == nil {
+		return x, nil
+	}
+	x.Close()
+	var f *Failure
+	if errors.As(err, &f) {
+		f.Reused = cn.reused
 	}
-	return x, nil
+	return nil, err
 }
 
 func failure(reason Reason, sent bool, peer ident.Address, code fault.Code, text string) *Failure {
--- a/entry/forward/forward_test.go
+++ b/entry/forward/forward_test.go
@@ -555,3 +555,28 @@
 		})
 	}
 }
+
+// Guards against a retry that takes another old connection, which may have gone the way of the first.
+func TestNewConnectionAfterReuse(t *testing.T) {
+	is := is.New(t)
+	u := newUpstream(t, func(u *fakeUpstream, c net.Conn, in *bufio.Reader, n int32) {
+		if n > 1 {
+			u.echo(c, in)
+			return
+		}
+		u.take(in)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		u.take(in) // the connection ends with the second request on it
+	})
+	c := u.client(t, 1)
+	_, f := fetch(context.Background(), c, u.request("/1", time.Second))
+	is.True(f == nil)
+	_, f = fetch(context.Background(), c, u.request("/2", time.Second))
+	is.True(f != nil && f.Sent && f.Reused)
+	again := u.request("/3", time.Second)
+	again.New = true
+	body, f := fetch(context.Background(), c, again)
+	is.True(f == nil)
+	is.Equal(body, "/3")
+	is.Equal(c.Stats.Reused.Load(), int64(1))
+}
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -71,9 +71,12 @@
 	p.mu.Unlock()
 }
 
-// get returns an idle connection that is still sound, or a new one.
-func (p *pool) get(ctx context.Context, deadline time.Time) (*conn, error) {
-	for {
+// get returns an idle connection that is still sound, or a new one; with fresh always a new one.
+func (p *pool) get(ctx context.Context, deadline time.Time, fresh bool) (*conn, error) {
+	if fresh {
+		p.dropIdle(1) // makes room where all connections of the limit are open
+	}
+	for !fresh {
 		p.mu.Lock()
 		if p.retired {
 			p.mu.Unlock()
@@ -90,6 +93,7 @@
 		p.mu.Unlock()
 		if c.sound() {
 			p.client.Stats.Reused.Add(1)
+			c.reused = true
 			return c, nil
 		}
 		p.client.Stats.Stale.Add(1)
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -49,6 +49,7 @@
 	finished    atomic.Bool // the body was read to its end; set by the upload's goroutine
 	replied     bool        // the head of the answer was written
 	mayRun      bool        // an upstream may have run the request
+	reused      bool        // the latest attempt broke on a connection that had served an earlier request
 	upstream    time.Duration
 
 	claimed bool   // control granted the claim
@@ -214,7 +215,7 @@
 	q := &forward.Request{
 		Endpoint: c.send.Endpoint, Incarnation: c.send.Incarnation,
 		Method: r.Method, Target: target, Host: r.Host, Header: r.Header,
-		Workspace: c.send.Workspace, Deadline: c.deadline,
+		Workspace: c.send.Workspace, Deadline: c.deadline, New: c.send.Again,
 	}
 	if c.send.Linked {
 		q.Pace = pace
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -121,7 +121,7 @@
 	g.mu.Lock()
 	c.ended = router.Ended{
 		At: g.Clock.Now(), ID: c.id, Attempt: c.send.Attempt, Outcome: outcome,
-		Fresh: c.buffered || !c.started, Elapsed: elapsed,
+		Fresh: c.buffered || !c.started, Reused: c.reused, Elapsed: elapsed,
 	}
 	g.step(&c.ended)
 	g.mu.Unlock()
@@ -135,6 +135,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	c.started = c.started || !c.buffered
+	c.reused = false
 	q := c.request(func(n int, back bool) (time.Duration, int) { return g.pace(c.id, n, back) })
 	if q.Stream != nil {
 		if err := c.control().EnableFullDuplex(); err != nil {
@@ -196,6 +197,7 @@
 		return true
 	}
 	if f.Sent {
+		c.reused = f.Reused
 		g.end(c, router.Broken, 0)
 	} else {
 		g.end(c, router.Unsent, 0)
