--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -86,6 +86,10 @@
 	}
 	if p["once"] != "" {
 		method = http.MethodPost
+		if body == nil {
+			// net/http sends a request with an idempotency key again by itself unless its body can be read only once.
+			body = io.NopCloser(strings.NewReader("seat"))
+		}
 	}
 	url := fmt.Sprintf("http://%s:%d%s", f.procs[p["entry"]].host, frontPort, p["path"])
 	r, err := http.NewRequestWithContext(ctx, method, url, body)
