gateway: never end a routed request with an implicit 200

Cause: when an upstream reset the connection of a streamed upload, the gateway interrupted its read of the caller's body; the server then cancels the request's context, the gateway took that for a caller that went away in about half of the cases, returned without an answer, and net/http wrote 200 with an empty body. Change: after an own interruption the context says nothing of the caller; a routed request that ends without an answer aborts the connection. Ruled out: the stand-in, whose answers always have a body.

--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -47,7 +47,7 @@
 	started     bool        // a streamed body was handed to an upstream's connection
 	interrupted bool        // reads of the body fail from now on
 	finished    atomic.Bool // the body was read to its end; set by the upload's goroutine
-	replied     bool        // the head of the answer was written
+	replied     bool        // the head of an answer or of a refusal was written
 	mayRun      bool        // an upstream may have run the request
 	givenUp     bool        // the latest attempt was ended by this VM, so the upstream may still run it
 	reused      bool        // the latest attempt broke on a connection that had served an earlier request
@@ -172,6 +172,15 @@
 	_ = c.control().SetReadDeadline(c.began)
 }
 
+// gone returns a channel that is closed when the caller goes away. The server
+// takes an interrupted read for the same, so it says nothing after an interruption.
+func (c *call) gone() <-chan struct{} {
+	if c.interrupted {
+		return nil
+	}
+	return c.r.Context().Done()
+}
+
 // Bounds of the body that is read and thrown away before a refusal.
 const (
 	skipMost = 256 << 10
--- a/entry/gateway/claim.go
+++ b/entry/gateway/claim.go
@@ -92,6 +92,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // the server would guess one
 	}
+	c.replied = true
 	c.w.WriteHeader(int(o.Status))
 	_, _ = c.w.Write(o.Body)
 }
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -56,6 +56,10 @@
 	defer g.forget(c)
 	g.serve(c)
 	g.measure(c)
+	if !c.replied {
+		// The caller went away. Without this the server would answer 200 with an empty body.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (g *Gateway) forget(c *call) {
@@ -75,7 +79,7 @@
 	for {
 		select {
 		case <-c.wake:
-		case <-c.r.Context().Done():
+		case <-c.gone():
 			g.cancelled(c)
 			return
 		}
@@ -130,8 +134,8 @@
 // attempt sends the request once, and reports whether the request was answered.
 func (g *Gateway) attempt(c *call) bool {
 	ctx := c.r.Context()
-	if c.claimed {
-		// The outcome is stored even when the caller does not wait for it, so that a repeat gets it.
+	if c.claimed || c.interrupted {
+		// The outcome of a claim is stored even when the caller does not wait for it, so that a repeat gets it.
 		ctx = context.WithoutCancel(ctx)
 	}
 	c.started = c.started || !c.buffered
@@ -232,7 +236,7 @@
 		// The caller must not take a part of the answer for the whole.
 		panic(http.ErrAbortHandler)
 	}
-	if c.replied && x.Length != 0 {
+	if x.Length != 0 {
 		_ = c.control().SetWriteDeadline(time.Time{})
 	}
 	return true
@@ -308,6 +312,7 @@
 	if badInput(f) {
 		g.Log.WithField("step", f.Step).WithField("peer", c.r.RemoteAddr).WithField("code", f.Code).Info(f.Message)
 	}
+	c.replied = true
 	writeFault(c.w, f, true)
 }
 
