router: take only retries that load an upstream from the budget

Change: a retry after an attempt of which no byte was written is free; three attempts stay the most. Ruled out: leaving the endpoint out, since observations only rank. Test changed: TestRetriesStayWithinBudget used unsent attempts; it now uses shed ones, with the same bounds, because these load an upstream. TestDeadEndpointCostsNoRequest fails without the change.

--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -198,7 +198,7 @@
 // then exceed the burst. Each attempt therefore takes a token of its own.
 func (r *Router) afterUnrun(q *request, at *endpoint, e *Ended, code fault.Code, out []Effect) []Effect {
 	if r.mayRetry(q, e) {
-		r.budget--
+		r.spend(e.Outcome)
 		r.enqueue(q)
 		return out
 	}
@@ -214,18 +214,27 @@
 func (r *Router) afterBroken(q *request, at *endpoint, e *Ended, out []Effect) []Effect {
 	q.ran = true
 	if !q.service.Once && r.mayRetry(q, e) {
-		r.budget--
+		r.spend(e.Outcome)
 		r.enqueue(q)
 		return out
 	}
 	return r.refuse(q, notRun(fault.Upstream, "upstream", string(at.address), "upstream failed before it answered"), out)
 }
 
+// spend takes a retry from the budget. One after an attempt of which no byte
+// reached an upstream loads no upstream twice and is free, so that an endpoint
+// that refuses connections does not use up the retries of all requests.
+func (r *Router) spend(outcome Outcome) {
+	if outcome != Unsent {
+		r.budget--
+	}
+}
+
 // mayRetry reports whether another endpoint, of which this VM has a share, may
 // get the request. Where there is none, the same endpoint may get it again after
 // a break of a reused connection, which an upstream that restarted causes.
 func (r *Router) mayRetry(q *request, e *Ended) bool {
-	if !e.Fresh || q.attempt >= mostAttempts || r.budget < 1 || !r.now.Before(r.latestStart(q)) {
+	if !e.Fresh || q.attempt >= mostAttempts || e.Outcome != Unsent && r.budget < 1 || !r.now.Before(r.latestStart(q)) {
 		return false
 	}
 	for _, other := range q.service.endpoints {
--- a/entry/router/refuse_test.go
+++ b/entry/router/refuse_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/limit"
 	"cuminfall.example/fleet/rpc"
 )
@@ -187,10 +188,37 @@
 	for i := range 400 {
 		id := RequestID(i)
 		for out := r.Step(read(id, epoch), nil); sendOf(out) != nil; {
-			out = r.Step(&Ended{At: epoch, ID: id, Outcome: Unsent, Fresh: true}, nil)
+			out = r.Step(&Ended{At: epoch, ID: id, Outcome: Shed, Fresh: true}, nil)
 		}
 	}
 	is.Equal(r.Stats().Sent, uint64(400))
 	is.True(r.Stats().Retried >= 40)
 	is.True(r.Stats().Retried <= 40+retryReserve)
 }
+
+// Guards against a dead endpoint, always with free slots, that uses up the retries of a busy service.
+func TestDeadEndpointCostsNoRequest(t *testing.T) {
+	is := is.New(t)
+	const dead, alive = "127.0.0.1:1", "127.0.0.1:2"
+	p := newPlant()
+	p.upstream("read", dead, "a1", 1)
+	p.upstream("read", alive, "a1", 1)
+	p.share(limit.OfSlots(alive), 0, 0, 1)
+	r := p.start(t)
+	// run takes a request past the dead endpoint; it is sent to the other one or waits for it.
+	run := func(id RequestID) []Effect {
+		out := r.Step(read(id, epoch), nil)
+		for send := sendOf(out); send != nil && send.Endpoint == dead; send = sendOf(out) {
+			out = r.Step(&Ended{At: epoch, ID: id, Outcome: Unsent, Fresh: true}, nil)
+		}
+		is.True(refusal(out) == nil)
+		return out
+	}
+	for id := RequestID(0); id < 400; id += 2 {
+		is.True(sendOf(run(id)) != nil)
+		run(id + 1)
+		next := sendOf(r.Step(&Ended{At: epoch, ID: id, Outcome: Answered, Fresh: true}, nil))
+		is.Equal(next.Endpoint, ident.Address(alive))
+		r.Step(&Ended{At: epoch, ID: id + 1, Outcome: Answered, Fresh: true}, nil)
+	}
+}
