ledger, router: keep what a lost VM reported in use, until its deadlines

Change: each report of units in use carries the time until their latest deadline; a release keeps these units until then. A holder that never reported to this leader keeps all, as before. Ruled out: no retention (region_lapse: 12 requests in a capacity of 6); the upstreams' reported load, which may lie. Cost: requests started after the last report are not kept.

--- a/control/ledger/lend.go
+++ b/control/ledger/lend.go
@@ -188,7 +188,7 @@
 // lend returns the number of allotments that were refused for want of room.
 func (l *Ledger) lend(c Lend) any {
 	for _, h := range c.GetReleases() {
-		l.release(holderOf(h.GetHolder()), ident.Index(h.GetEntered()))
+		l.release(h)
 	}
 	for _, k := range c.GetConfirms() {
 		l.confirm(k)
@@ -216,12 +216,19 @@
 
 // release drops a holder whose lease has lapsed. A copy that arrives after the
 // holder registered again does nothing.
-func (l *Ledger) release(h Holder, entered ident.Index) {
+func (l *Ledger) release(c *wire.Lend_Release) {
+	h, entered := holderOf(c.GetHolder()), ident.Index(c.GetEntered())
 	hold := l.holders[h]
 	if hold == nil || hold.entered != entered {
 		return
 	}
-	l.retain(h, hold)
+	switch {
+	case l.ended(h):
+	case c.GetReported():
+		l.retainUses(h, c.GetUses())
+	default:
+		l.retain(h, hold)
+	}
 	delete(l.holders, h)
 	if _, ok := l.Current(h); ok {
 		l.vms[h.VM].absent = true
--- a/control/ledger/residue.go
+++ b/control/ledger/residue.go
@@ -20,11 +20,17 @@
 	until  time.Duration // log time at which the last such request has reached its deadline
 }
 
-// retain keeps a released holder's counts until its requests must have ended.
-func (l *Ledger) retain(h Holder, hold *holding) {
-	if l.ended(h) {
-		return
+// retainUses keeps what a released holder last reported to be in use until the deadlines that it reported.
+func (l *Ledger) retainUses(h Holder, uses []*wire.Use) {
+	for _, u := range uses {
+		until := l.at + time.Duration(u.GetUntilMs())*time.Millisecond
+		l.residues = append(l.residues, residue{h, ident.Limit(u.GetLimit()), u.GetUsed(), until})
 	}
+}
+
+// retain keeps all counts of a released holder that never reported to this leader, until the longest
+// time-outs of its requests have passed.
+func (l *Ledger) retain(h Holder, hold *holding) {
 	regions := make(map[ident.Limit]uint32) // what is left of each region's ceiling
 	for _, id := range sortedLimits(hold) {
 		kind, address := limit.Split(id)
--- a/control/ledger/residue_test.go
+++ b/control/ledger/residue_test.go
@@ -66,3 +66,25 @@
 	})
 	return n
 }
+
+// TestReportedResidues guards against keeping more of a lost VM's slots, or for longer, than it last reported to
+// be in use; keeping all of them refused 29% of the requests after the loss of a VM.
+func TestReportedResidues(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	h := Holder{"e1", 4}
+	b.do(Announce{&rpc.Upstream{Service: "s", Address: "127.0.0.1:1", Domain: "d1", Slots: 5, Connections: 9, Incarnation: 1}})
+	b.do(Enter{&wire.Enter{Member: &rpc.Member{Vm: "e1", Incarnation: 4}}})
+	b.do(lendOf(h, "slots/127.0.0.1:1", Amount{Count: 4}))
+	b.do(Lend{&wire.Lend{Releases: []*wire.Lend_Release{{
+		Holder: &wire.Holder{Vm: "e1", Incarnation: 4}, Entered: uint64(b.Entered(h)), Reported: true,
+		Uses: []*wire.Use{{Limit: "slots/127.0.0.1:1", Used: 2, UntilMs: 5000}},
+	}}}})
+	is.Equal(b.Ceilings("slots/127.0.0.1:1").Count, uint32(2))
+	b.now += 4 * time.Second
+	b.do(Lend{&wire.Lend{}})
+	is.Equal(b.Ceilings("slots/127.0.0.1:1").Count, uint32(2))
+	b.now += time.Second
+	b.do(Lend{&wire.Lend{}})
+	is.Equal(b.Ceilings("slots/127.0.0.1:1").Count, uint32(0))
+}
--- a/control/server/plan.go
+++ b/control/server/plan.go
@@ -102,8 +102,13 @@
 	in.Others = s.ledger.Residues(in.LogTime)
 	s.soft.prune(now, s.timings.lapse(), s.ledger)
 	for _, h := range s.ledger.Holders() {
+		last := s.soft.sessions[h]
 		if s.lapsed(now, h) {
-			lend.Releases = append(lend.Releases, &wire.Lend_Release{Holder: wireHolder(h), Entered: uint64(s.ledger.Entered(h))})
+			release := &wire.Lend_Release{Holder: wireHolder(h), Entered: uint64(s.ledger.Entered(h)), Reported: last != nil}
+			if last != nil {
+				release.Uses = last.uses
+			}
+			lend.Releases = append(lend.Releases, release)
 			continue
 		}
 		current := s.confirmed(h, lend)
--- a/control/server/soft.go
+++ b/control/server/soft.go
@@ -85,7 +85,7 @@
 	var uses []*wire.Use
 	for _, d := range r.GetDemands() {
 		if kind, _ := limit.Split(ident.Limit(d.GetLimit())); d.GetUsed() > 0 && !kind.Flow() {
-			uses = append(uses, &wire.Use{Limit: d.GetLimit(), Used: d.GetUsed()})
+			uses = append(uses, &wire.Use{Limit: d.GetLimit(), Used: d.GetUsed(), UntilMs: d.GetUntilMs()})
 		}
 	}
 	return uses
--- a/entry/router/demand.go
+++ b/entry/router/demand.go
@@ -27,7 +27,7 @@
 	r.advance(at)
 	v := &r.view
 	for _, w := range v.workspaceList {
-		out = demand(out, limit.OfWorkspace(w.name), w.arrivals.rate(r.now)+float64(w.waiting+w.claiming), w.waiting, 0)
+		out = demand(out, limit.OfWorkspace(w.name), w.arrivals.rate(r.now)+float64(w.waiting+w.claiming), w.waiting, 0, 0)
 	}
 	waiting := v.spread()
 	regions := make(map[*region]float64)
@@ -35,9 +35,10 @@
 	for _, e := range v.endpointList {
 		n := waiting[e]
 		wanted := e.decayedPeak(r.now) + float64(n)
-		out = demand(out, e.slotsID, wanted, n, e.slots.Used())
+		left := e.latest.Sub(r.now)
+		out = demand(out, e.slotsID, wanted, n, e.slots.Used(), left)
 		if e.connLimited {
-			out = demand(out, e.connsID, wanted, n, e.conns.Used())
+			out = demand(out, e.connsID, wanted, n, e.conns.Used(), left)
 		}
 		if e.region != nil {
 			regions[e.region] += wanted
@@ -46,17 +47,17 @@
 	}
 	for _, g := range v.regionList {
 		if g.limited {
-			out = demand(out, limit.OfRegion(g.name), regions[g], queues[g], g.counter.Used())
+			out = demand(out, limit.OfRegion(g.name), regions[g], queues[g], g.counter.Used(), g.latest.Sub(r.now))
 		}
 	}
 	for _, l := range v.linkList {
 		if l.known {
-			out = demand(out, l.id, l.moved.rate(r.now)+l.delayed.rate(r.now), 0, 0)
+			out = demand(out, l.id, l.moved.rate(r.now)+l.delayed.rate(r.now), 0, 0, 0)
 		}
 	}
 	for _, s := range v.shiftList {
 		if s.known {
-			out = demand(out, limit.OfShift(s.name), s.arrivals.rate(r.now), 0, 0)
+			out = demand(out, limit.OfShift(s.name), s.arrivals.rate(r.now), 0, 0, 0)
 		}
 	}
 	return out
@@ -65,11 +66,15 @@
 // leastDemand is below what matters to a plan of shares.
 const leastDemand = 0.01
 
-func demand(out []*rpc.Demand, id ident.Limit, wanted float64, waiting int, used uint32) []*rpc.Demand {
+func demand(out []*rpc.Demand, id ident.Limit, wanted float64, waiting int, used uint32, left time.Duration) []*rpc.Demand {
 	if wanted < leastDemand && used == 0 {
 		return out
 	}
-	return append(out, &rpc.Demand{Limit: string(id), Wanted: wanted, Waiting: uint32(waiting), Used: used})
+	d := &rpc.Demand{Limit: string(id), Wanted: wanted, Waiting: uint32(waiting), Used: used}
+	if used > 0 {
+		d.UntilMs = max(0, left.Milliseconds()+1)
+	}
+	return append(out, d)
 }
 
 // spread divides the waiting requests of each service among its nearest active candidates.
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -79,7 +79,7 @@
 func (r *Router) dispatch(q *request, e *endpoint, out []Effect) []Effect {
 	r.unqueue(q)
 	r.timers.remove(q)
-	e.take(r.now)
+	e.take(r.now, q.deadline)
 	q.state, q.endpoint, q.region = sent, e, e.region
 	q.sentAt = r.now
 	again := q.again && q.triedAt(e)
--- a/entry/router/endpoint.go
+++ b/entry/router/endpoint.go
@@ -19,6 +19,7 @@
 
 // endpoint is an upstream with this VM's shares of it.
 type endpoint struct {
+	latest      time.Time // deadline among the requests sent there so far
 	address     ident.Address
 	slotsID     ident.Limit
 	connsID     ident.Limit
@@ -61,7 +62,9 @@
 
 // take uses a slot, a connection and a place in the region. All are counted
 // even where they are not limited, because a limit may be set before they are released.
-func (e *endpoint) take(now time.Time) {
+func (e *endpoint) take(now, deadline time.Time) {
+	e.latest = later(e.latest, deadline)
+	e.region.latest = later(e.region.latest, deadline)
 	e.slots.Use()
 	e.conns.Use()
 	e.region.counter.Use()
@@ -157,3 +160,10 @@
 	}
 	return 0
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -86,7 +86,8 @@
 	name    ident.Region
 	limited bool
 	counter limit.Counter
-	out     *link // from this VM's region; nil where not limited
+	latest  time.Time // deadline among the requests sent there so far
+	out     *link     // from this VM's region; nil where not limited
 	back    *link
 }
 
