affinity, hub, front, place: the leader plans upstreams of objects and tells which are full; leaders hear at once

Hashing puts 9 of 35 objects on some upstreams and none on others. Cause 2: a VM knew an upstream's load only from answers. One that told 17 waiting requests got none for seconds, told nothing, and stayed 'full' while it was idle: 157 of 353 refusals in 4 s were for an upstream with 0.3 of 4 slots busy. Cause 3: one workspace is tied to syd, which has 2 of 22 upstreams; flows did not know and left others' requests there. Cause 4: after a loss of all VMs reports waited up to 0.5 s for their turn, and callers were asked back after 0.1 s, which used up their one further try before control led again. Change: VMs report requests by object, and what they sent; the leader sums both, moves objects from upstreams that are asked for more than they can do, spreads hot ones, and tells full upstreams and regions' use. A new leader takes the places over. Tied demand counts against its region's room. A new leader is reported to at once; callers of a VM without a catalog are asked back after 1 s.

--- /dev/null
+++ b/control/hub/demand.go
@@ -0,0 +1,185 @@
+package hub
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"cuminfall.example/control/affinity"
+	"cuminfall.example/control/spread"
+	"cuminfall.example/fleet/feed"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/object"
+	"cuminfall.example/fleet/register"
+)
+
+// planPeriod is how often the plan of objects, and the upstreams that it may use, are made anew: as often as VMs report.
+const planPeriod = 500 * time.Millisecond
+
+// told is what a VM knows of its region's flows and objects.
+type told struct {
+	known, last plan   // by its reports, and as answered last
+	at          uint64 // the report whose answer said last
+}
+
+// plan is what the callers of one region follow.
+type plan struct {
+	flows feed.Flows
+	homes feed.Homes
+}
+
+// plan takes over a VM's demand and answers with what changed for it; h.mu is held.
+func (h *Hub) plan(now time.Time, region ident.Region, q *feed.Report, reply *feed.ReportReply) {
+	fresh := now.Sub(h.pooled) >= planPeriod
+	if fresh {
+		h.takePool(now)
+	}
+	if q.Whole {
+		h.plans.Adopt(now, region, q.Homes, h.regionOf)
+	}
+	h.spread.Report(now, q.VM.Name, region, q.Busy, tiedBusy(q.Tied))
+	h.plans.Report(now, affinity.Callers{Region: region}, q.Asked, q.Work)
+	for home, d := range q.Tied {
+		h.plans.Report(now, affinity.Callers{Region: region, Tied: home}, d.Asked, nil)
+	}
+	h.loads.Report(now, q.VM.Name, q.Sent)
+	flows := h.spread.Flows(now, region, h.room(), q.Flows)
+	if fresh {
+		h.plans.Plan(now, h.pool, h.spread.All())
+	}
+	reply.Full, reply.Uses = h.loads.Sum(now, h.pool)
+	reply.Flows, reply.Homes = h.news(q, plan{roundedFlows(flows), h.plans.Homes(region)})
+}
+
+func tiedBusy(tied map[ident.Region]feed.Demand) map[ident.Region]map[ident.Service]float64 {
+	busy := make(map[ident.Region]map[ident.Service]float64, len(tied))
+	for home, d := range tied {
+		busy[home] = d.Busy
+	}
+	return busy
+}
+
+// takePool notes the upstreams that may be used.
+func (h *Hub) takePool(now time.Time) {
+	h.pool, h.pooled = affinity.Pool{}, now
+	h.opts.Machine.view(func(r *register.Register) {
+		for _, u := range r.Upstreams {
+			by := h.pool[u.Service]
+			if by == nil {
+				by = map[ident.Region][]register.Upstream{}
+				h.pool[u.Service] = by
+			}
+			region := h.opts.Regions[u.Domain]
+			by[region] = append(by[region], u)
+			if u.State != register.Ready || r.Drained[u.Domain] {
+				by[region] = by[region][:len(by[region])-1] // the region is known, with fewer slots
+			}
+		}
+	})
+	for _, by := range h.pool {
+		for _, list := range by {
+			slices.SortFunc(list, func(a, b register.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		}
+	}
+}
+
+// regionOf returns an upstream's region; empty where it may not be used.
+func (h *Hub) regionOf(id register.UpstreamID) ident.Region {
+	var region ident.Region
+	h.opts.Machine.view(func(r *register.Register) {
+		if u, known := r.Upstreams[id]; known {
+			region = h.opts.Regions[u.Domain]
+		}
+	})
+	return region
+}
+
+// room counts the slots that may be used, by service and region; h.mu is held.
+func (h *Hub) room() spread.Room {
+	room := make(spread.Room, len(h.pool))
+	for name, by := range h.pool {
+		room[name] = make(map[ident.Region]float64, len(by))
+		for r, list := range by {
+			room[name][r] = 0
+			for _, u := range list {
+				room[name][r] += float64(u.Slots)
+			}
+		}
+	}
+	return room
+}
+
+// news returns what a VM does not follow yet; h.mu is held.
+func (h *Hub) news(q *feed.Report, now plan) (feed.Flows, feed.Homes) {
+	t := h.told[q.VM.Name]
+	if t == nil {
+		t = &told{}
+		h.told[q.VM.Name] = t
+	}
+	if q.Whole {
+		t.known = plan{q.Flows, q.Homes}
+	} else if q.Seen >= t.at {
+		t.known = t.last
+	}
+	t.last = now
+	flows, homes := newFlows(t.known.flows, now.flows), newHomes(t.known.homes, now.homes)
+	if len(flows)+len(homes) > 0 {
+		t.at = q.Sequence
+	}
+	return flows, homes
+}
+
+func newFlows(known, now feed.Flows) feed.Flows {
+	changed := feed.Flows{}
+	for name, flow := range now {
+		if !maps.Equal(flow, known[name]) {
+			changed[name] = flow
+		}
+	}
+	return changed
+}
+
+// newHomes returns the objects whose upstreams changed; an empty list is for those back at the first of their order.
+func newHomes(known, now feed.Homes) feed.Homes {
+	changed := feed.Homes{}
+	note := func(name ident.Service, id object.ID, list []register.UpstreamID) {
+		if changed[name] == nil {
+			changed[name] = map[object.ID][]register.UpstreamID{}
+		}
+		changed[name][id] = list
+	}
+	for name, by := range now {
+		for id, list := range by {
+			if !slices.Equal(list, known[name][id]) {
+				note(name, id, list)
+			}
+		}
+	}
+	for name, by := range known {
+		for id := range by {
+			if _, still := now[name][id]; !still {
+				note(name, id, nil)
+			}
+		}
+	}
+	return changed
+}
+
+// roundedFlows leaves out the digits of flows that move no request, which would cost VMs on slow links more than the
+// flows themselves.
+func roundedFlows(flows feed.Flows) feed.Flows {
+	const digits = 1000
+	all := make(feed.Flows, len(flows))
+	for name, f := range flows {
+		r := make(feed.Flow, len(f))
+		for region, part := range f {
+			if part = math.Round(part*digits) / digits; part > 0 {
+				r[region] = part
+			}
+		}
+		all[name] = r
+	}
+	return all
+}
--- a/control/hub/hub.go
+++ b/control/hub/hub.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
-	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cuminfall.example/control/affinity"
 	"cuminfall.example/control/replica"
 	"cuminfall.example/control/share"
 	"cuminfall.example/control/spread"
@@ -61,6 +60,10 @@
 	lender  share.Lender
 	told    map[ident.VM]*told
 	spread  spread.Spreader
+	plans   affinity.Planner
+	loads   affinity.Loads
+	pool    affinity.Pool // of upstreams that may be used, as of pooled
+	pooled  time.Time
 	vms     map[ident.VM]time.Time            // last report to this leader
 	down    map[ident.VM]time.Time            // since when this member knows VMs to be down
 	heard   map[register.UpstreamID]time.Time // by this member, or told by others while it leads
@@ -288,7 +291,6 @@
 		return nil, err
 	}
 	now := h.opts.Clock.Now()
-	room := h.room()
 	region := h.opts.Regions[q.VM.Domain]
 	var c *catalog.Catalog
 	h.opts.Machine.view(func(r *register.Register) { c = r.Catalog })
@@ -307,74 +309,10 @@
 		return reply, nil
 	}
 	reply.VMs = h.lender.Size()
-	h.spread.Report(now, q.VM.Name, region, q.Busy)
-	reply.Flows = h.newFlows(&q, h.spread.Flows(now, region, room, q.Flows))
+	h.plan(now, region, &q, &reply)
 	return reply, nil
 }
 
-// told is what a VM knows of its region's flows.
-type told struct {
-	known feed.Flows // by its reports
-	last  feed.Flows // as answered last
-	at    uint64     // the report whose answer said last
-}
-
-// newFlows returns the flows that a VM does not follow yet; h.mu is held.
-func (h *Hub) newFlows(q *feed.Report, flows feed.Flows) feed.Flows {
-	t := h.told[q.VM.Name]
-	if t == nil {
-		t = &told{}
-		h.told[q.VM.Name] = t
-	}
-	if q.Whole {
-		t.known = q.Flows
-	} else if q.Seen >= t.at {
-		t.known = t.last
-	}
-	changed := feed.Flows{}
-	t.last = feed.Flows{}
-	for name, flow := range flows {
-		flow = rounded(flow)
-		t.last[name] = flow
-		if !maps.Equal(flow, t.known[name]) {
-			changed[name] = flow
-		}
-	}
-	if len(changed) > 0 {
-		t.at = q.Sequence
-	}
-	return changed
-}
-
-// rounded leaves out the digits of a flow that move no request, which would cost VMs on slow links more than the
-// flow itself.
-func rounded(f feed.Flow) feed.Flow {
-	const digits = 1000
-	r := make(feed.Flow, len(f))
-	for name, part := range f {
-		if part = math.Round(part*digits) / digits; part > 0 {
-			r[name] = part
-		}
-	}
-	return r
-}
-
-// room counts the slots that may be used, by service and region.
-func (h *Hub) room() spread.Room {
-	room := spread.Room{}
-	h.opts.Machine.view(func(r *register.Register) {
-		for _, u := range r.Upstreams {
-			if room[u.Service] == nil {
-				room[u.Service] = map[ident.Region]float64{}
-			}
-			if u.State == register.Ready && !r.Drained[u.Domain] {
-				room[u.Service][h.opts.Regions[u.Domain]] += float64(u.Slots)
-			}
-		}
-	})
-	return room
-}
-
 // admitVM makes a VM known before it is lent anything.
 func (h *Hub) admitVM(ctx context.Context, vm register.VM) error {
 	var known register.VM
@@ -395,7 +333,7 @@
 		return
 	}
 	h.term = term
-	h.told, h.spread = map[ident.VM]*told{}, spread.Spreader{}
+	h.told, h.spread, h.plans, h.loads = map[ident.VM]*told{}, spread.Spreader{}, affinity.Planner{}, affinity.Loads{}
 	h.lender.Allowance = h.opts.Rates
 	h.vms, h.heard = map[ident.VM]time.Time{}, map[register.UpstreamID]time.Time{}
 	var known []ident.VM
--- a/control/spread/spread.go
+++ b/control/spread/spread.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"maps"
 	"math"
 	"sort"
 	"time"
@@ -58,26 +59,57 @@
 type load struct {
 	region ident.Region
 	at     time.Time
-	busy   map[ident.Service]float64 // slots that its requests keep busy
+	busy   map[ident.Service]float64                  // slots that its requests keep busy
+	tied   map[ident.Region]map[ident.Service]float64 // the same for those that one region alone may serve
 }
 
-// Report takes over a VM's demand.
-func (s *Spreader) Report(now time.Time, vm ident.VM, region ident.Region, busy map[ident.Service]float64) {
+// Report takes over a VM's demand: the slots that its requests keep busy, and those of requests that one region alone
+// may serve.
+func (s *Spreader) Report(now time.Time, vm ident.VM, region ident.Region, busy map[ident.Service]float64, tied map[ident.Region]map[ident.Service]float64) {
 	if s.vms == nil {
 		s.vms = map[ident.VM]load{}
 	}
 	old := s.vms[vm]
-	next := load{region: region, at: now, busy: map[ident.Service]float64{}}
+	next := load{region: region, at: now, tied: map[ident.Region]map[ident.Service]float64{}}
 	keep := 0.0
 	if age := now.Sub(old.at); age < 4*memory {
 		keep = 1 - age.Seconds()/(age.Seconds()+memory.Seconds())
 	}
-	for name, n := range busy {
-		next.busy[name] = keep*old.busy[name] + (1-keep)*n
+	next.busy = smooth(old.busy, busy, keep)
+	for home, busy := range tied {
+		next.tied[home] = smooth(old.tied[home], busy, keep)
 	}
 	s.vms[vm] = next
 }
 
+func smooth(old, busy map[ident.Service]float64, keep float64) map[ident.Service]float64 {
+	next := make(map[ident.Service]float64, len(busy))
+	for name, n := range busy {
+		next[name] = keep*old[name] + (1-keep)*n
+	}
+	return next
+}
+
+// leastRoom is the part of a region's slots that flows may count on however many requests are tied to it: without it
+// a flow would leave the region at once.
+const leastRoom = 0.05
+
+// left returns the slots that requests leave which one region alone may serve.
+func (s *Spreader) left(now time.Time, name ident.Service, slots map[ident.Region]float64) map[ident.Region]float64 {
+	left := maps.Clone(slots)
+	for _, l := range s.vms {
+		if now.Sub(l.at) >= 4*memory {
+			continue
+		}
+		for r, busy := range l.tied {
+			if n, serves := left[r]; serves {
+				left[r] = max(n-busy[name], leastRoom*slots[r])
+			}
+		}
+	}
+	return left
+}
+
 // Flows returns where the requests of a region should go. Held is what a VM of the region follows now, which
 // a new leader continues from.
 func (s *Spreader) Flows(now time.Time, region ident.Region, room Room, held feed.Flows) feed.Flows {
@@ -91,6 +123,9 @@
 	return flows
 }
 
+// All returns the flows of all regions, by the region of the callers. The result must not be changed.
+func (s *Spreader) All() map[ident.Service]map[ident.Region]feed.Flow { return s.flows }
+
 // advance moves all flows towards what demand and room ask for, as far as the time since allows.
 func (s *Spreader) advance(now time.Time, room Room, region ident.Region, held feed.Flows) {
 	if s.began.IsZero() {
@@ -110,6 +145,7 @@
 			s.flows[name][region] = held[name]
 		}
 		s.noteLoss(now, name, slots)
+		slots = s.left(now, name, slots)
 		demand := s.demand(now, name)
 		// What moves no request need not move slowly: upstreams announce themselves one after the other.
 		if idle(demand, slots) {
--- a/control/spread/spread_test.go
+++ b/control/spread/spread_test.go
@@ -66,7 +66,7 @@
 	now := time.Unix(1000, 0)
 	report := func(busy float64) feed.Flow {
 		now = now.Add(500 * time.Millisecond)
-		s.Report(now, "vm-c", "c", map[ident.Service]float64{"s": busy})
+		s.Report(now, "vm-c", "c", map[ident.Service]float64{"s": busy}, nil)
 		return s.Flows(now, "c", room, nil)["s"]
 	}
 	before := report(5)
@@ -100,7 +100,7 @@
 		now = now.Add(500 * time.Millisecond)
 		wave := 1 + 0.55*math.Sin(float64(step)/2/36*2*math.Pi)
 		for _, r := range []ident.Region{"a", "b", "c"} {
-			s.Report(now, ident.VM("vm-"+string(r)), r, map[ident.Service]float64{"s": 18 * wave})
+			s.Report(now, ident.VM("vm-"+string(r)), r, map[ident.Service]float64{"s": 18 * wave}, nil)
 		}
 		flow := s.Flows(now, "c", room, nil)["s"]
 		if before != nil {
@@ -117,7 +117,7 @@
 	is := is.New(t)
 	var s Spreader
 	now := time.Unix(1000, 0)
-	s.Report(now, "vm-c", "c", nil)
+	s.Report(now, "vm-c", "c", nil, nil)
 	got := s.Flows(now, "c", Room{"s": {"a": 54, "b": 54, "c": 18}}, nil)["s"]
 	is.True(math.Abs(got["c"]-18.0*3/126) < 1e-9)
 }
@@ -127,10 +127,10 @@
 	is := is.New(t)
 	var s Spreader
 	now := time.Unix(1000, 0)
-	s.Report(now, "vm-c", "c", nil)
+	s.Report(now, "vm-c", "c", nil, nil)
 	is.Equal(s.Flows(now, "c", Room{"s": {"a": 9}}, nil)["s"]["a"], 1.0)
 	now = now.Add(500 * time.Millisecond)
-	s.Report(now, "vm-c", "c", nil)
+	s.Report(now, "vm-c", "c", nil, nil)
 	got := s.Flows(now, "c", Room{"s": {"a": 50, "b": 50, "c": 50}}, nil)["s"]
 	is.Equal(got["c"], 1.0)
 }
@@ -154,9 +154,28 @@
 	now := time.Unix(1000, 0)
 	busy := map[ident.Service]float64{"s": 30}
 	var fresh, taken Spreader
-	fresh.Report(now, "vm-c", "c", busy)
+	fresh.Report(now, "vm-c", "c", busy, nil)
 	is.True(math.Abs(fresh.Flows(now, "c", room, nil)["s"]["c"]-18.0*3/126) < 1e-9)
 	held := feed.Flows{"s": {"c": 0.7, "a": 0.3}}
-	taken.Report(now, "vm-c", "c", busy)
+	taken.Report(now, "vm-c", "c", busy, nil)
 	is.Equal(taken.Flows(now, "c", room, held)["s"], held["s"])
 }
+
+// Guards against a region that is full of requests which no other region may serve getting others as well: on
+// emberdeck-lb one workspace was tied to the region with 2 of 22 upstreams, and all its callers were refused.
+func TestTiedRequestsTakeRoom(t *testing.T) {
+	is := is.New(t)
+	var s Spreader
+	now := time.Unix(1000, 0)
+	room := Room{"s": {"a": 40, "c": 8}}
+	var flow feed.Flow
+	for range 120 {
+		s.Report(now, "vm-a", "a", map[ident.Service]float64{"s": 12}, nil)
+		s.Report(now, "vm-c", "c", map[ident.Service]float64{"s": 6}, map[ident.Region]map[ident.Service]float64{"c": {"s": 9}})
+		s.Flows(now, "a", room, nil)
+		flow = s.Flows(now, "c", room, nil)["s"]
+		now = now.Add(500 * time.Millisecond)
+	}
+	is.True(flow["c"] < 0.1)
+	is.True(flow["a"] > 0.9)
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -193,9 +193,7 @@
 			continue
 		}
 		f.ahead = a.reply.Index
-		f.mu.Lock()
-		f.leader = a.reply.Leader
-		f.mu.Unlock()
+		f.setLeader(a.reply.Leader)
 		chosen = true
 		f.setMember(a.member)
 		f.opts.Log.WithFields(logrus.Fields{"event": "dependency_regained", "member": a.member, "index": f.register.Index}).
@@ -205,6 +203,17 @@
 	return chosen
 }
 
+// setLeader notes who leads. A new leader lends nothing before it has heard of all VMs, so it is told at once.
+func (f *Follower) setLeader(a ident.Address) {
+	f.mu.Lock()
+	changed := a != "" && a != f.leader
+	f.leader = a
+	f.mu.Unlock()
+	if changed {
+		f.Wake()
+	}
+}
+
 // note remembers the group's addresses.
 func (f *Follower) note(members []ident.Address) {
 	f.mu.Lock()
@@ -217,9 +226,7 @@
 // take applies an answer to the register, which never goes back.
 func (f *Follower) take(member ident.Address, reply feed.FollowReply) error {
 	f.note(reply.Members)
-	f.mu.Lock()
-	f.leader = reply.Leader
-	f.mu.Unlock()
+	f.setLeader(reply.Leader)
 	before := f.register.Index
 	if len(reply.State) > 0 && reply.Index > before {
 		if err := f.register.Restore(reply.State); err != nil {
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -27,6 +27,7 @@
 	cut    bool
 	silent bool
 	link   time.Duration // that the state takes on its way
+	leader ident.Address
 }
 
 func (m *member) set(index ident.Index, cut, silent bool) {
@@ -41,7 +42,7 @@
 		return nil, err
 	}
 	m.mu.Lock()
-	reply, silent := feed.FollowReply{Index: m.index, Cut: m.cut}, m.silent
+	reply, silent := feed.FollowReply{Index: m.index, Cut: m.cut, Leader: m.leader}, m.silent
 	if q.Probe {
 		m.mu.Unlock()
 		return reply, nil
@@ -83,7 +84,8 @@
 type entry struct {
 	mu      sync.Mutex
 	indexes []ident.Index
-	lent    int // reports that were answered
+	lent    int       // reports that were answered
+	at      time.Time // of the first of them
 }
 
 func (e *entry) Update(r *register.Register) {
@@ -96,7 +98,9 @@
 func (e *entry) Lent(time.Time, feed.Report, feed.ReportReply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lent++
+	if e.lent++; e.lent == 1 {
+		e.at = time.Now()
+	}
 }
 
 func (e *entry) last() ident.Index {
@@ -174,3 +178,31 @@
 	time.Sleep(far.link + 500*time.Millisecond)
 	is.Equal(e.last(), ident.Index(200))
 }
+
+// Guards against callers who are refused for rates for half a second after the loss of all VMs: a new leader lends
+// nothing before all VMs have reported, and these waited for their next turn.
+func TestNewLeaderHearsAtOnce(t *testing.T) {
+	is := is.New(t)
+	for range 6 {
+		m := &member{index: 1, cut: true}
+		address := serve(t, m)
+		e := &entry{}
+		f := New(Options{Clock: clock.System{}, Log: process.NewLogger(io.Discard, "info"), Seeds: []ident.Address{address}, Entry: e})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(2 * wakePause)
+		m.mu.Lock()
+		m.cut, m.leader = false, address
+		m.mu.Unlock()
+		reach(t, e, 1)
+		followed := time.Now()
+		time.Sleep(reportPeriod)
+		cancel()
+		<-done
+		e.mu.Lock()
+		is.True(e.lent > 0)
+		is.True(e.at.Sub(followed) < reportPeriod/3) // as soon as the leader is known
+		e.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/entry/front/demand.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cuminfall.example/entry/pacing"
+	"cuminfall.example/entry/place"
+	"cuminfall.example/fleet/feed"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/object"
+)
+
+// loggedHomes bounds the places of objects in one line of the log.
+const loggedHomes = 8
+
+// demand is what this VM's callers ask for.
+type demand struct {
+	busy  map[ident.Service]*pacing.Meter
+	asked feed.Asked // since the last report that was answered
+}
+
+// countDemand notes a request that begins, whether it gets an upstream or not: the flows between regions and the plan
+// of objects follow what callers ask for, and not what is served. f.mu is held.
+func (f *Front) countDemand(q *place.Query) {
+	d := f.demand[q.Tied()]
+	if d == nil {
+		d = &demand{map[ident.Service]*pacing.Meter{}, feed.Asked{}}
+		f.demand[q.Tied()] = d
+	}
+	m := d.busy[q.Service]
+	if m == nil {
+		m = &pacing.Meter{}
+		d.busy[q.Service] = m
+	}
+	m.Add(f.opts.Leases.Now(), f.placer.Work(q.Service, q.Object != "").Seconds())
+	if !q.Planned() {
+		return
+	}
+	by := d.asked[q.Service]
+	if by == nil {
+		by = map[object.ID]int{}
+		d.asked[q.Service] = by
+	}
+	by[object.Of(q.Object)]++
+}
+
+// reportDemand adds to a report what callers ask for and what this VM sent; f.mu is held.
+func (f *Front) reportDemand(now time.Time, r *feed.Report) {
+	r.Tied, r.Work = map[ident.Region]feed.Demand{}, map[ident.Service]time.Duration{}
+	for region, d := range f.demand {
+		said := feed.Demand{Busy: make(map[ident.Service]float64, len(d.busy)), Asked: make(feed.Asked, len(d.asked))}
+		for name, m := range d.busy {
+			said.Busy[name] = math.Round(m.PerSecond(now)*1000) / 1000
+			r.Work[name] = f.placer.Work(name, true).Round(time.Millisecond)
+		}
+		for name, by := range d.asked {
+			said.Asked[name] = maps.Clone(by)
+		}
+		if region == "" {
+			r.Demand = said
+		} else {
+			r.Tied[region] = said
+		}
+	}
+	r.Sent = f.placer.Inflight()
+	if r.Whole {
+		r.Flows, r.Homes = f.flows, f.placer.Homes()
+	}
+}
+
+// reported forgets what a report said.
+func (d *demand) reported(said feed.Asked) {
+	for name, by := range said {
+		for id, n := range by {
+			if d.asked[name][id] -= n; d.asked[name][id] <= 0 {
+				delete(d.asked[name], id)
+			}
+		}
+	}
+}
+
+// follow takes over what the leader answered to a report's demand; f.mu is held.
+func (f *Front) follow(sent time.Time, q feed.Report, r feed.ReportReply) {
+	for region, d := range f.demand {
+		if region == "" {
+			d.reported(q.Asked)
+		} else {
+			d.reported(q.Tied[region].Asked)
+		}
+	}
+	f.placer.Told(f.opts.Clock.Now().Add(-f.opts.Leases.Now().Sub(sent)), r.Full, r.Uses, q.Sent)
+	if len(r.Flows) > 0 {
+		next := maps.Clone(f.flows)
+		if next == nil {
+			next = feed.Flows{}
+		}
+		maps.Copy(next, r.Flows)
+		f.flows = next
+		f.opts.Log.Line(logrus.InfoLevel, "flows", logrus.Fields{"event": "flows", "flows": r.Flows, "term": r.Term}, "flows between regions")
+	}
+	if len(r.Homes) > 0 {
+		f.placer.SetHomes(r.Homes)
+		f.logHomes(q, r)
+	}
+}
+
+// logHomes writes which objects moved, or how many where these are too many for a line.
+func (f *Front) logHomes(q feed.Report, r feed.ReportReply) {
+	fields := logrus.Fields{"event": "homes", "term": r.Term, "report": q.Sequence}
+	n := 0
+	for _, by := range r.Homes {
+		n += len(by)
+	}
+	if fields["objects"] = n; n <= loggedHomes {
+		fields["homes"] = r.Homes
+	}
+	f.opts.Log.Line(logrus.InfoLevel, "homes", fields, "the leader moved objects")
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -17,6 +17,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/feed"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/object"
 	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/register"
 )
@@ -85,7 +86,7 @@
 	splits        map[string][]float64 // credit of the parts of each split route
 	moved         ident.Index          // of the register's upstreams and VMs
 	flows         feed.Flows
-	busy          map[ident.Service]*pacing.Meter
+	demand        map[ident.Region]*demand // by the region that alone may serve it; empty for any
 	sends, strays pacing.Meter
 	lag           pacing.Lag
 	lent          chan struct{} // closed when allowances change
@@ -99,7 +100,7 @@
 func New(o Options) *Front {
 	f := &Front{opts: o, meters: newMeters(o.Metrics), splits: map[string][]float64{}, rested: map[ident.Domain]time.Time{},
 		since: map[ident.Domain]ident.Index{}}
-	f.busy, f.lent = map[ident.Service]*pacing.Meter{}, make(chan struct{})
+	f.demand, f.lent = map[ident.Region]*demand{}, make(chan struct{})
 	f.rates.Forget()
 	f.began = o.Leases.Now()
 	f.placer = place.Placer{Domain: o.VM.Domain, Regions: o.Regions, Costs: o.Costs}
@@ -208,7 +209,7 @@
 }
 
 func incarnation(id register.UpstreamID, born int64) ident.Incarnation {
-	return ident.Incarnation(place.Hash(string(id)) ^ uint64(born))
+	return ident.Incarnation(uint64(object.SeedOf(string(id))) ^ uint64(born))
 }
 
 // fields are the fields of every line on a request.
--- a/entry/front/quota.go
+++ b/entry/front/quota.go
@@ -1,14 +1,12 @@
 package front
 
 import (
-	"math"
 	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/fleet/feed"
-	"cuminfall.example/fleet/ident"
 )
 
 const (
@@ -101,17 +99,7 @@
 		f.opts.Log.Line(logrus.InfoLevel, "lent", logrus.Fields{"event": "lent", "term": r.Term, "allow": r.Allow, "report": q.Sequence,
 			"age": now.Sub(sent).String()}, "allowances of workspaces' rates changed")
 	}
-	if len(r.Flows) > 0 {
-		next := make(feed.Flows, len(f.flows)+len(r.Flows))
-		for name, flow := range f.flows {
-			next[name] = flow
-		}
-		for name, flow := range r.Flows {
-			next[name] = flow
-		}
-		f.flows = next
-		f.opts.Log.Line(logrus.InfoLevel, "flows", logrus.Fields{"event": "flows", "flows": r.Flows, "term": r.Term}, "flows between regions")
-	}
+	f.follow(sent, q, r)
 }
 
 // Report implements follower.Entry.
@@ -122,13 +110,8 @@
 	vm := f.opts.VM
 	vm.Up = !f.closing.Load()
 	f.sequence++
-	r := feed.Report{VM: vm, Sequence: f.sequence, Seen: f.seen, Term: f.term, Fresh: now.Sub(f.began) < 2*f.opts.Terms.RateWindow, Busy: make(map[ident.Service]float64, len(f.busy))}
+	r := feed.Report{VM: vm, Sequence: f.sequence, Seen: f.seen, Term: f.term, Fresh: now.Sub(f.began) < 2*f.opts.Terms.RateWindow}
 	r.Rates, r.Whole = f.rates.Report(now)
-	for name, m := range f.busy {
-		r.Busy[name] = math.Round(m.PerSecond(now)*1000) / 1000
-	}
-	if r.Whole {
-		r.Flows = f.flows
-	}
+	f.reportDemand(now, &r)
 	return r
 }
--- a/entry/front/serve.go
+++ b/entry/front/serve.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/entry/admission"
-	"cuminfall.example/entry/pacing"
 	"cuminfall.example/entry/place"
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/ident"
@@ -24,6 +23,9 @@
 	maxBuffered = 64 << 20
 	// leastRetryAfter keeps refused callers from coming back before anything has changed.
 	leastRetryAfter = 100 * time.Millisecond
+	// catalogRetry is asked of callers of a VM that knows no catalog. After the loss of all VMs the control group needs
+	// about a second until it leads again, and callers who come back sooner have used up their tries by then.
+	catalogRetry = time.Second
 	// maxRetryAfter bounds what a refused caller is asked to wait.
 	maxRetryAfter = 2 * time.Second
 )
@@ -90,7 +92,7 @@
 	table, lag := f.table, f.lag.Delay(f.opts.Leases.Now())
 	f.mu.Unlock()
 	if table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, why: "no catalog known yet", after: leastRetryAfter}
+		return &refusal{status: http.StatusServiceUnavailable, why: "no catalog known yet", after: catalogRetry}
 	}
 	c.version = table.Catalog.Version
 	if c.route = table.Route(c.r.Host, c.r.URL.EscapedPath()); c.route == nil {
@@ -246,21 +248,25 @@
 	now := f.opts.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.service == "" {
+	began := c.service != ""
+	if !began {
 		c.service = f.part(c.route)
 		f.retries.Arrived(now, c.service)
-		f.countBusy(c.service, c.object() != "")
 	}
 	settings := f.table.Service(c.service)
 	want := admission.Request{Goal: c.route.Goal, Left: c.deadline.Sub(now), Spent: now.Sub(c.began), Rank: c.rank, Fastest: f.placer.Fastest(c.service, c.object() != ""), Room: true}
-	choice, ok := f.placer.Choose(now, &place.Query{
+	query := &place.Query{
 		Service: c.service, Object: c.object(), Spin: c.caller.ID, Flow: f.flows[c.service], Stray: f.mayStray(), Bytes: c.size, Homes: c.homes, Drained: f.drained, Tried: tried,
 		Most: admission.MostWait(want),
 		Admits: func(u register.Upstream) bool {
 			return u.Domain == f.opts.VM.Domain && f.cold.Admits(now, u.ID, settings.ColdRate, f.sharers+1)
 		},
 		Resting: func(d ident.Domain) bool { return now.Sub(f.rested[d]) < settings.Cold },
-	})
+	}
+	if !began {
+		f.countDemand(query)
+	}
+	choice, ok := f.placer.Choose(now, query)
 	if !ok {
 		return choice, &refusal{status: http.StatusServiceUnavailable, why: "no upstream may be used", after: maxRetryAfter / 4}
 	}
@@ -325,21 +331,11 @@
 	fields := c.fields("attempt")
 	fields["upstream"], fields["service"], fields["warm"], fields["load"], fields["object"] = choice.Upstream.ID, c.service, choice.Warm, choice.Load, c.object()
 	fields["domain"], fields["stray"] = choice.Upstream.Domain, choice.Stray
+	fields["rank"], fields["told"] = choice.Rank, load
 	fields["expected"], fields["elapsed"], fields["outcome"] = choice.Expected.String(), elapsed.String(), outcome.String()
 	f.opts.Log.Line(logrus.InfoLevel, "attempt."+outcome.String(), fields, "attempt ended")
 }
 
-// countBusy notes how long a request is expected to keep a slot busy, whether it gets one or not: the flows
-// between regions follow what callers ask for, and not what is served. f.mu is held.
-func (f *Front) countBusy(name ident.Service, object bool) {
-	m := f.busy[name]
-	if m == nil {
-		m = &pacing.Meter{}
-		f.busy[name] = m
-	}
-	m.Add(f.opts.Leases.Now(), f.placer.Work(name, object).Seconds())
-}
-
 // object is what upstreams may know already; empty on routes that gain nothing from it.
 func (c *call) object() string {
 	if !c.route.Sticky {
--- a/entry/place/learn.go
+++ b/entry/place/learn.go
@@ -155,7 +155,7 @@
 		if len(s.objects) >= maxObjects {
 			s.forget(now)
 		}
-		o = &object{}
+		o = &known{}
 		s.objects[key] = o
 	}
 	o.used = now
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -6,10 +6,9 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cuminfall.example/fleet/feed"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/object"
 	"cuminfall.example/fleet/register"
 )
 
@@ -69,6 +68,9 @@
 
 	services  map[ident.Service]*service
 	upstreams map[register.UpstreamID]*upstream
+	planned   feed.Homes // by the leader
+	uses      feed.Uses  // as the leader told last
+	usesAt    time.Time
 }
 
 // service is the upstreams of one service and its mean times.
@@ -80,13 +82,13 @@
 	plain   time.Duration // mean of requests without an object
 	mean    time.Duration // of all requests
 	seen    bool          // cold and warm are of answers, no longer assumed
-	objects map[string]*object
+	objects map[string]*known
 
 	plainSeen bool // the same for plain
 }
 
-// object is where one object was handled last.
-type object struct {
+// known is where one object was handled last.
+type known struct {
 	used time.Time
 	at   [maxWarm]place
 }
@@ -99,7 +101,7 @@
 type upstream struct {
 	register.Upstream
 	distance Distance
-	seed     uint64
+	seed     object.Seed
 	inflight int
 	others   float64 // requests of other VMs at the upstream, by what it told last
 	usual    float64 // the mean of that
@@ -119,7 +121,7 @@
 	for id, a := range all {
 		u := old[id]
 		if u == nil || u.Born != a.Born || u.Address != a.Address {
-			u = &upstream{slow: 1, seed: xxhash.Sum64String(string(id)), cold: now.Add(a.Cold)}
+			u = &upstream{slow: 1, seed: object.SeedOf(string(id)), cold: now.Add(a.Cold)}
 		} else if a.Sequence != u.Sequence {
 			u.cold = now.Add(a.Cold)
 			if a.Cold == 0 && u.failures > 0 && now.Sub(u.failedAt) > failureHold {
@@ -130,7 +132,7 @@
 		p.upstreams[id] = u
 		s := services[a.Service]
 		if s == nil {
-			s = &service{name: a.Service, cold: firstWork, warm: time.Duration(float64(firstWork) * firstWarm), plain: firstWork / 2, mean: firstWork / 2, objects: map[string]*object{}}
+			s = &service{name: a.Service, cold: firstWork, warm: time.Duration(float64(firstWork) * firstWarm), plain: firstWork / 2, mean: firstWork / 2, objects: map[string]*known{}}
 			if was := p.services[a.Service]; was != nil {
 				s.cold, s.warm, s.plain, s.mean, s.seen, s.plainSeen, s.objects = was.cold, was.warm, was.plain, was.mean, was.seen, was.plainSeen, was.objects
 			}
@@ -172,12 +174,12 @@
 	Resting func(ident.Domain) bool
 }
 
-// spot hashes what decides the region of a request. All requests for one object share it.
-func (q *Query) spot() uint64 {
+// object is what decides where the request belongs. All requests for one object share it.
+func (q *Query) object() object.ID {
 	if q.Object != "" {
-		return xxhash.Sum64String(q.Object)
+		return object.Of(q.Object)
 	}
-	return xxhash.Sum64String(q.Spin)
+	return object.Of(q.Spin)
 }
 
 // Choice is an upstream with what is expected of it.
@@ -192,6 +194,7 @@
 	Expected time.Duration // until its answer is here
 	Fastest  time.Duration // the same for an upstream there that is free and knows the object
 	Load     int           // requests at the upstream, as far as known
+	Rank     int           // place of the upstream in the object's order
 }
 
 // Choose returns the upstream with the earliest expected answer, or false where none may be used.
@@ -252,46 +255,6 @@
 	return false
 }
 
-// home is where a request belongs: the region by the flows of its callers' region, and in it the upstream of
-// its object by rendezvous hashing, with those that take over where that is full. All VMs of a region
-// agree on them without a word.
-type home struct {
-	region ident.Region
-	order  [homesKept]ranked
-	scarce map[ident.Region]float64 // what a second of a slot is worth to the requests that follow, in seconds of this one
-}
-
-// homesKept is how many upstreams an object may spread to in an order that all VMs know.
-const homesKept = 12
-
-type ranked struct {
-	*upstream
-	score uint64
-}
-
-// insert takes an upstream into the order, by its score.
-func (h *home) insert(u *upstream, score uint64) {
-	for i := range h.order {
-		if at := &h.order[i]; at.upstream == nil || score > at.score {
-			at.upstream, u = u, at.upstream
-			at.score, score = score, at.score
-			if u == nil {
-				return
-			}
-		}
-	}
-}
-
-// rank returns an upstream's place in the order, or homesKept where it has none.
-func (h *home) rank(u *upstream) int {
-	for i := range h.order {
-		if h.order[i].upstream == u {
-			return i
-		}
-	}
-	return homesKept
-}
-
 const (
 	// scarceFrom is the part of a region's slots in use from which a slot's time is scarce.
 	scarceFrom = 0.5
@@ -299,6 +262,8 @@
 	// know its object takes three times the slot's time, so that a full service that spreads its requests
 	// gets fuller still.
 	scarceGrowth = 10
+	// usesStale is the age from which this VM's own view of a region is better than the leader's: two reports.
+	usesStale = 1500 * time.Millisecond
 	// spreadScarcity is the scarcity from which hot objects no longer spread to further upstreams: their first
 	// requests there would take the slots that others need.
 	spreadScarcity = 2.5
@@ -316,89 +281,13 @@
 	}
 	scarce := make(map[ident.Region]float64, len(uses))
 	for r, n := range uses {
-		scarce[r] = max(0, float64(n.used)/float64(max(n.slots, 1))-scarceFrom) * scarceGrowth
-	}
-	return scarce
-}
-
-// nearBytes is the size from which a body stays in its failure domain, where that has upstreams: moving it
-// between domains costs more than an object that is kept twice.
-const nearBytes = 16 << 10
-
-func (p *Placer) homes(now time.Time, s *service, q *Query) home {
-	h := home{region: p.homeRegion(s, q), scarce: p.scarcity(now, s, q)}
-	if q.Object == "" {
-		return h
-	}
-	near := false
-	if q.Bytes >= nearBytes && h.region == p.Regions[p.Domain] {
-		for _, u := range s.list {
-			near = near || u.distance == Near && u.serves(p, q)
+		part := float64(n.used) / float64(max(n.slots, 1))
+		if told, known := p.uses[s.name][r]; known && now.Sub(p.usesAt) < usesStale {
+			part = told
 		}
+		scarce[r] = max(0, part-scarceFrom) * scarceGrowth
 	}
-	key := xxhash.Sum64String(q.Object)
-	for _, u := range s.list {
-		if !u.serves(p, q) || p.Regions[u.Domain] != h.region || near && u.distance != Near {
-			continue
-		}
-		h.insert(u, mix(key^u.seed))
-	}
-	return h
-}
-
-// serves reports whether an upstream may get the request at all.
-func (u *upstream) serves(p *Placer, q *Query) bool {
-	return u.State == register.Ready && !q.Drained[u.Domain] && allowed(q.Homes, p.Regions[u.Domain])
-}
-
-// homeRegion chooses the region by the flow. A small change of the flow moves few objects.
-func (p *Placer) homeRegion(s *service, q *Query) ident.Region {
-	own := p.Regions[p.Domain]
-	serving := map[ident.Region]bool{}
-	var others []ident.Region
-	for _, u := range s.list {
-		if r := p.Regions[u.Domain]; u.serves(p, q) && !serving[r] {
-			serving[r] = true
-			if r != own {
-				others = append(others, r)
-			}
-		}
-	}
-	slices.Sort(others)
-	total := 0.0
-	for r, part := range q.Flow {
-		if serving[r] {
-			total += part
-		}
-	}
-	if total <= 0 {
-		if serving[own] || len(others) == 0 {
-			return own
-		}
-		return others[mix(q.spot())%uint64(len(others))]
-	}
-	const whole = 1 << 53
-	at := float64(mix(q.spot()+1)>>11) / whole * total
-	for _, r := range append([]ident.Region{own}, others...) {
-		if !serving[r] {
-			continue
-		}
-		if at < q.Flow[r] {
-			return r
-		}
-		at -= q.Flow[r]
-	}
-	return own
-}
-
-// Hash returns a number that sets names apart.
-func Hash(name string) uint64 { return xxhash.Sum64String(name) }
-
-// mix is the finalizer of splitmix64.
-func mix(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
+	return scarce
 }
 
 // estimate returns what is expected of an upstream, and its cost for comparison with others.
@@ -406,10 +295,11 @@
 	warm := s.isWarm(now, q.Object, u.ID)
 	work := s.cold
 	cost := s.cold
-	switch rank := h.rank(u); {
+	rank := h.rank(u)
+	switch {
 	case warm:
 		work, cost = s.warm, s.warm
-	case rank == 0:
+	case rank < h.main:
 		cost = s.warm // it will be warm for the requests that follow
 	default:
 		cost -= (s.cold - s.warm) / 10 * time.Duration(homesKept-rank) / homesKept // so that all choose the same one where the first is full
@@ -428,7 +318,7 @@
 	if cold {
 		slow *= 2
 	}
-	c := Choice{Upstream: u.Upstream, Distance: u.distance, Warm: warm, Cold: cold, Load: load, Wait: wait,
+	c := Choice{Upstream: u.Upstream, Distance: u.distance, Warm: warm, Cold: cold, Rank: rank, Load: load, Wait: wait,
 		Expected: wait + trip + time.Duration(float64(work)*slow), Fastest: trip + s.fastest(q.Object != "")}
 	total := wait + trip + time.Duration(float64(cost)*slow*(1+h.scarce[p.Regions[u.Domain]]))
 	total += time.Duration(int64(q.Bytes) * int64(p.Costs.Byte[u.distance]) / 1024)
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -217,3 +217,20 @@
 	p.Sent("a1-0")
 	is.Equal(told.load(now.Add(3*time.Second), p.services["s"]), 8)
 }
+
+// Guards against upstreams that stay full in a VM's view because it sends them nothing, so that nobody answers it:
+// on emberdeck-lb two idle upstreams were taken to have 17 requests each for seconds, and their callers were refused.
+func TestLeaderTellsFullUpstreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := site(now, 1)
+	u, s := p.upstreams["a1-0"], p.services["s"]
+	p.Sent("a1-0")
+	p.Ended(now, Report{Service: "s", ID: "a1-0", Elapsed: time.Second, Load: 17})
+	is.Equal(u.load(now.Add(2*time.Second), s), 17)
+	p.Told(now.Add(-time.Second), nil, nil, nil) // older than the upstream's own word
+	is.Equal(u.load(now.Add(2*time.Second), s), 17)
+	p.Told(now.Add(2*time.Second), feed.Loads{"a2-0": 9}, nil, feed.Loads{"a2-0": 2})
+	is.True(u.load(now.Add(2*time.Second), s) < int(u.Slots)) // it has free slots
+	is.Equal(p.upstreams["a2-0"].load(now.Add(2*time.Second), s), 7)
+}
--- a/fleet/feed/feed.go
+++ b/fleet/feed/feed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/object"
 	"cuminfall.example/fleet/register"
 )
 
@@ -63,6 +64,24 @@
 // Flows are the flows of one region by service.
 type Flows map[ident.Service]Flow
 
+// Asked counts requests for objects, by service.
+type Asked map[ident.Service]map[object.ID]int
+
+// Demand is what callers ask for.
+type Demand struct {
+	Busy  map[ident.Service]float64 `json:"busy,omitempty"`  // slots that the callers keep busy
+	Asked Asked                     `json:"asked,omitempty"` // since the last report that was answered
+}
+
+// Homes are the upstreams to which objects belong, by service. An empty list means the first of the object's order.
+type Homes map[ident.Service]map[object.ID][]register.UpstreamID
+
+// Loads are requests at upstreams that were sent and not answered yet.
+type Loads map[register.UpstreamID]int
+
+// Uses are the parts of the slots in use, by service and region.
+type Uses map[ident.Service]map[ident.Region]float64
+
 // Report is an entry VM's word to the leader.
 type Report struct {
 	VM       register.VM `json:"vm"`
@@ -73,8 +92,12 @@
 	Fresh    bool        `json:"fresh,omitempty"` // this run began within the last window, and another may have ended
 	Rates    Rates       `json:"rates,omitempty"`
 
-	Busy  map[ident.Service]float64 `json:"busy,omitempty"`  // slots that this VM's callers keep busy
-	Flows Flows                     `json:"flows,omitempty"` // that this VM follows, in whole reports
+	Demand
+	Tied  map[ident.Region]Demand         `json:"tied,omitempty"`  // beside Demand, what one region alone may serve
+	Work  map[ident.Service]time.Duration `json:"work,omitempty"`  // for which a request for a known object keeps a slot busy
+	Sent  Loads                           `json:"sent,omitempty"`  // by this VM
+	Flows Flows                           `json:"flows,omitempty"` // that this VM follows, in whole reports
+	Homes Homes                           `json:"homes,omitempty"` // the same
 }
 
 // ReportReply renews the lease of all allowances and changes some.
@@ -85,6 +108,9 @@
 	Lease time.Duration `json:"lease"`
 	VMs   int           `json:"vms"`             // entry VMs that share the rates
 	Flows Flows         `json:"flows,omitempty"` // those that changed
+	Homes Homes         `json:"homes,omitempty"` // those that changed
+	Full  Loads         `json:"full,omitempty"`  // of all VMs together, at upstreams whose slots are all in use
+	Uses  Uses          `json:"uses,omitempty"`
 }
 
 // ProposeReply is the outcome of a forwarded command.
