place, affinity: learned times keep known and new objects apart, and objects get more upstreams while there is room

Change: answers that may be of a forgotten object teach no mean; an upstream that is new to an object is not chosen for lucky answers; objects leave upstreams from 0.6 of their slots on, where not all are fuller. Ruled out by tests: counting forgotten objects' answers against the usual time of new ones alone (TestHotObjectsSpread fails: 25,520 in time of at least 25,653), with the bound on lucky answers it passes.

--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -24,7 +24,7 @@
 	settling = 3 * time.Second
 	// full is the part of an upstream's slots from which objects leave it. Requests need more than the time of those whose
 	// object is known (place.Placer.Work), so that queues are short at that.
-	full = 1.0
+	full = 0.6
 	// above is how much fuller than its region's mean an upstream must be, where all are full.
 	above = 1.15
 	// better is the part of a full upstream's load that the next one may have after a move: each move costs a request at
--- a/entry/place/learn.go
+++ b/entry/place/learn.go
@@ -124,21 +124,12 @@
 func (p *Placer) learn(now time.Time, u *upstream, r Report) {
 	s := p.services[u.Service]
 	elapsed := max(r.Elapsed, time.Millisecond)
-	mean := &s.cold
-	// Another VM may have warmed the object, so a fast answer counts as a warm one.
-	if r.Warm || elapsed < (s.cold+s.warm)/2 {
-		mean = &s.warm
-	}
-	if r.Object == "" {
-		mean = &s.plain
-		s.plainSeen = true
-	} else {
-		s.seen = true
-	}
-	ratio := float64(elapsed) / float64(*mean)
+	mean, ratio := s.classify(r, elapsed)
 	u.slow += slowSmoothing * (math.Min(math.Max(ratio, 0.3), 10) - u.slow)
 	// One slow upstream must not make the whole service look slow.
-	*mean += time.Duration(smoothing * float64(min(elapsed, 3**mean)-*mean))
+	if mean != nil {
+		*mean += time.Duration(smoothing * float64(min(elapsed, 3**mean)-*mean))
+	}
 	if r.Object != "" || !s.seen { // where requests have objects, those without one are tests of routes
 		s.mean += time.Duration(smoothing * float64(min(elapsed, 2*s.cold)-s.mean))
 	}
@@ -149,6 +140,30 @@
 	}
 }
 
+// forgottenPart is how much longer than the mean request for a new object one may take that is taken for such. What
+// takes longer still tells of the upstream.
+const forgottenPart = 1.3
+
+// classify returns the mean that an answer counts towards, or none where that is not clear, and how much longer than
+// usual it took. An upstream may have learned the object from another VM, or forgotten it meanwhile: taken for
+// slow answers of known objects, those would let the two means meet, so that objects spread as if that cost nothing.
+func (s *service) classify(r Report, elapsed time.Duration) (mean *time.Duration, ratio float64) {
+	if r.Object == "" {
+		s.plainSeen = true
+		return &s.plain, float64(elapsed) / float64(s.plain)
+	}
+	s.seen = true
+	switch fast := elapsed < (s.cold+s.warm)/2; {
+	case fast:
+		return &s.warm, float64(elapsed) / float64(s.warm)
+	case !r.Warm:
+		return &s.cold, float64(elapsed) / float64(s.cold)
+	case float64(elapsed) < forgottenPart*float64(s.cold):
+		return nil, float64(elapsed) / float64(s.cold)
+	}
+	return nil, float64(elapsed) / float64(s.warm)
+}
+
 func (s *service) remember(now time.Time, key string, id register.UpstreamID) {
 	o := s.objects[key]
 	if o == nil {
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -314,6 +314,11 @@
 	}
 	trip := p.Costs.Trip[u.distance]
 	slow := u.slow
+	if !warm && rank >= h.main {
+		// Of many upstreams the one that seems fastest is mostly one whose few answers were lucky, and a different one
+		// for each VM: the object would be new to all of them.
+		slow = max(slow, 1)
+	}
 	cold := u.isCold(now, q)
 	if cold {
 		slow *= 2
