--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -36,6 +36,9 @@
 	movePart = 0.1
 	// mostHomes bounds the upstreams of one object.
 	mostHomes = 6
+	// maxObjects bounds the objects that are counted, ten times those of the known deployments: callers choose their
+	// names. Others stay at the first upstream of their order.
+	maxObjects = 16384
 )
 
 // Pool is the upstreams of a service that may be used, by region.
@@ -94,6 +97,9 @@
 		for id, n := range by {
 			k := asked{name, callers, id}
 			c := p.asked[k]
+			if c == nil && len(p.asked) >= maxObjects {
+				continue
+			}
 			if c == nil {
 				c = &count{began: now, last: now}
 				p.asked[k] = c
@@ -256,8 +262,8 @@
 	list  []register.Upstream
 	slots map[register.UpstreamID]float64
 	used  map[register.UpstreamID]float64
-	seed  func(register.UpstreamID) object.Seed
-	level float64 // from which an upstream is full, as a part of its slots
+	seeds []object.Seed // of the list
+	level float64       // from which an upstream is full, as a part of its slots
 }
 
 func (l *loads) fill(id register.UpstreamID) float64 { return l.used[id] / max(l.slots[id], 1) }
@@ -265,12 +271,12 @@
 // emptiest returns the upstream that is least full with so much more, beside those that have the object already.
 func (l *loads) emptiest(w *want, more float64) (best register.UpstreamID, fill float64) {
 	score := uint64(0)
-	for _, u := range l.list {
+	for i, u := range l.list {
 		if slices.Contains(w.list, u.ID) {
 			continue
 		}
 		f := (l.used[u.ID] + more) / max(l.slots[u.ID], 1)
-		s := w.id.Score(l.seed(u.ID))
+		s := w.id.Score(l.seeds[i])
 		if best == "" || f < fill || f == fill && s > score {
 			best, fill, score = u.ID, f, s
 		}
@@ -280,14 +286,15 @@
 
 // balance places the objects of a group: each keeps its upstreams where these are not too full.
 func (p *Planner) balance(now time.Time, g *group, pool []register.Upstream) {
-	l := &loads{list: pool, slots: map[register.UpstreamID]float64{}, used: map[register.UpstreamID]float64{}, seed: p.seed}
+	l := &loads{list: pool, slots: map[register.UpstreamID]float64{}, used: map[register.UpstreamID]float64{}}
 	total, slots := 0.0, 0.0
 	for _, u := range pool {
 		l.slots[u.ID] = float64(u.Slots)
+		l.seeds = append(l.seeds, p.seed(u.ID))
 		slots += float64(u.Slots)
 	}
 	for _, w := range g.objects {
-		p.start(w, g, pool, l)
+		p.start(w, g, l)
 		total += w.slots
 		for _, id := range w.list {
 			l.used[id] += w.slots / float64(len(w.list))
@@ -312,10 +319,10 @@
 }
 
 // start finds where an object belongs so far.
-func (p *Planner) start(w *want, g *group, pool []register.Upstream, l *loads) {
+func (p *Planner) start(w *want, g *group, l *loads) {
 	best := uint64(0)
-	for _, u := range pool {
-		if s := w.id.Score(p.seed(u.ID)); w.first == "" || s > best {
+	for i, u := range l.list {
+		if s := w.id.Score(l.seeds[i]); w.first == "" || s > best {
 			w.first, best = u.ID, s
 		}
 	}
@@ -354,8 +361,8 @@
 	case w.slots > n*one && len(w.list) < min(mostHomes, len(l.list)):
 		share := w.slots / (n + 1)
 		id, fill := l.emptiest(w, share)
-		if fill > l.level {
-			return false
+		if fill > l.level && fill > better*l.fill(w.list[0]) {
+			return false // no other has room for it
 		}
 		for _, at := range w.list {
 			l.used[at] += share - w.slots/n
--- a/control/affinity/affinity_test.go
+++ b/control/affinity/affinity_test.go
@@ -274,3 +274,36 @@
 	full, _ = l.Sum(now.Add(silent+time.Millisecond), all)
 	is.Equal(full, feed.Loads{}) // one is silent, two has its answers
 }
+
+// Guards against callers who fill the leader's memory with names of objects.
+func TestObjectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var p Planner
+	many := map[object.ID]int{}
+	for i := range maxObjects + 100 {
+		many[object.ID(i)] = 1
+	}
+	p.Report(time.Unix(1000, 0), Callers{Region: "a"}, feed.Asked{"s": many}, nil)
+	is.Equal(len(p.asked), maxObjects)
+}
+
+// BenchmarkPlan plans a site of 700 upstreams and 850 objects, as often as a leader does each half second.
+func BenchmarkPlan(b *testing.B) {
+	now := time.Unix(1000, 0)
+	all := pool(map[ident.Region]int{"a": 340, "b": 290, "c": 70})
+	flows := map[ident.Service]map[ident.Region]feed.Flow{"s": {}}
+	var p Planner
+	p.Plan(now, nil, nil)
+	for _, r := range []ident.Region{"a", "b", "c"} {
+		flows["s"][r] = feed.Flow{r: 1}
+		rates := map[object.ID]int{}
+		for i := range 283 {
+			rates[object.Of(string(r)+fmt.Sprint(i))] = 2
+		}
+		p.Report(now, Callers{Region: r}, feed.Asked{"s": rates}, map[ident.Service]time.Duration{"s": work})
+	}
+	now = now.Add(settling)
+	for b.Loop() {
+		p.Plan(now, all, flows)
+	}
+}
--- a/control/hub/demand.go
+++ b/control/hub/demand.go
@@ -30,8 +30,8 @@
 	homes feed.Homes
 }
 
-// plan takes over a VM's demand and answers with what changed for it; h.mu is held.
-func (h *Hub) plan(now time.Time, region ident.Region, q *feed.Report, reply *feed.ReportReply) {
+// answerDemand takes over a VM's demand and answers with what changed for it; h.mu is held.
+func (h *Hub) answerDemand(now time.Time, region ident.Region, q *feed.Report, reply *feed.ReportReply) {
 	fresh := now.Sub(h.pooled) >= planPeriod
 	if fresh {
 		h.takePool(now)
--- a/control/hub/hub.go
+++ b/control/hub/hub.go
@@ -325,7 +325,7 @@
 		return reply, nil
 	}
 	reply.VMs = h.lender.Size()
-	h.plan(now, region, &q, &reply)
+	h.answerDemand(now, region, &q, &reply)
 	return reply, nil
 }
 
--- a/control/hub/machine.go
+++ b/control/hub/machine.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"encoding/json"
 	"sync"
 
 	"github.com/sirupsen/logrus"
@@ -26,8 +27,19 @@
 	entries  []feed.Entry // without gaps in commands, oldest first
 	base     ident.Index  // followers at or after it can be served from entries
 	changed  chan struct{}
+	state    state
 }
 
+// state is the encoded register as of an index; all VMs that start anew ask for it at once.
+type state struct {
+	index ident.Index
+	data  json.RawMessage
+}
+
+// bulky is the length of commands from which the whole state is sent in their place, where that is shorter: after a day
+// of changes the commands carry many catalogs, which a VM on a small link and a part of a core takes seconds for.
+const bulky = ident.Bytes(64 << 10)
+
 // NewMachine returns a machine with an empty register.
 func NewMachine(log *process.Journal) *Machine {
 	return &Machine{log: log, register: register.New(), changed: make(chan struct{})}
@@ -105,22 +117,38 @@
 	return nil
 }
 
+// encoded returns the whole state; m.mu is held.
+func (m *Machine) encoded() (json.RawMessage, error) {
+	if m.state.data == nil || m.state.index != m.register.Index {
+		data, err := m.register.Encode()
+		if err != nil {
+			return nil, err
+		}
+		m.state = state{m.register.Index, data}
+	}
+	return m.state.data, nil
+}
+
 // after returns what a follower at an index lacks, and a channel that closes with the next change.
 func (m *Machine) after(index ident.Index) (feed.FollowReply, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reply := feed.FollowReply{Index: m.register.Index}
-	if index < m.base {
-		state, err := m.register.Encode()
-		if err != nil {
-			return reply, nil, err
-		}
-		reply.State = state
-		return reply, m.changed, nil
-	}
 	i := len(m.entries)
+	lacks := ident.Bytes(0)
 	for i > 0 && m.entries[i-1].Index > index {
 		i--
+		lacks += ident.Bytes(len(m.entries[i].Command))
+	}
+	if index < m.base || lacks > bulky {
+		data, err := m.encoded()
+		if err != nil {
+			return reply, nil, err
+		}
+		if index < m.base || lacks > ident.Bytes(len(data)) {
+			reply.State = data
+			return reply, m.changed, nil
+		}
 	}
 	reply.Entries = m.entries[i:]
 	return reply, m.changed, nil
--- /dev/null
+++ b/control/hub/machine_test.go
@@ -0,0 +1,47 @@
+package hub
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cuminfall.example/control/replica"
+	"cuminfall.example/fleet/catalog"
+	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
+	"cuminfall.example/fleet/register"
+)
+
+// Guards against entry VMs that start anew being sent all commands of a day, each with a catalog: after a loss of all VMs
+// of emberdeck-lb-grown they took one to three seconds for 2,600 commands.
+func TestFollowersGetTheShorterOfCommandsAndState(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(&process.Journal{FieldLogger: process.NewLogger(io.Discard, "info"), Clock: clock.System{}})
+	routes := map[string]catalog.Route{}
+	for i := range 200 {
+		name := fmt.Sprint("route", i)
+		routes[name] = catalog.Route{Name: name, Host: "h", Prefix: fmt.Sprintf("/%d/", i), Splits: []catalog.Split{{Service: "s", Weight: 1}}}
+	}
+	const changes = 40
+	for i := range changes {
+		c := register.Command{Change: &catalog.Change{Base: catalog.Version(i), Version: catalog.Version(i + 1), Whole: true, Digest: fmt.Sprint(i),
+			Items: catalog.Items{Routes: routes, Services: map[ident.Service]catalog.Service{"s": {Name: "s"}}}}}
+		m.Apply(replica.Entry{Index: ident.Index(i + 1), Data: c.Encode()})
+	}
+	is.Equal(m.register.Version(), catalog.Version(changes))
+	reply, _, err := m.after(0)
+	is.NoErr(err)
+	is.Equal(len(reply.Entries), 0)
+	is.True(len(reply.State) > 0)
+	fresh := register.New()
+	is.NoErr(fresh.Restore(reply.State))
+	is.Equal(fresh.Version(), m.register.Version())
+	is.Equal(fresh.Index, m.register.Index)
+	reply, _, err = m.after(changes - 1)
+	is.NoErr(err)
+	is.Equal(len(reply.Entries), 1) // the command is no longer than the state
+	is.Equal(len(reply.State), 0)
+}
--- a/entry/front/demand.go
+++ b/entry/front/demand.go
@@ -14,6 +14,10 @@
 	"cuminfall.example/fleet/object"
 )
 
+// maxAsked bounds the objects of one service that a report names, several times those that a VM is asked for between
+// two reports: callers choose the names of objects.
+const maxAsked = 512
+
 // loggedHomes bounds the places of objects in one line of the log.
 const loggedHomes = 8
 
@@ -45,7 +49,10 @@
 		by = map[object.ID]int{}
 		d.asked[q.Service] = by
 	}
-	by[object.Of(q.Object)]++
+	id := object.Of(q.Object)
+	if _, counted := by[id]; counted || len(by) < maxAsked {
+		by[id]++
+	}
 }
 
 // reportDemand adds to a report what callers ask for and what this VM sent; f.mu is held.
--- a/entry/front/demand_test.go
+++ b/entry/front/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -40,6 +41,18 @@
 	is.True(fx.Report().Busy["s"] > 0)
 }
 
+// Guards against callers who fill reports and this VM's memory with names of objects.
+func TestReportedObjectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	fx := start(t, 0, good)
+	fx.mu.Lock()
+	for i := range 4 * maxAsked {
+		fx.countDemand(&place.Query{Service: "s", Object: strconv.Itoa(i)})
+	}
+	fx.mu.Unlock()
+	is.Equal(len(fx.Report().Asked["s"]), maxAsked)
+}
+
 // Guards against a VM that sends objects elsewhere than the leader planned, or that a new leader believes to have no plan.
 func TestHomesAreFollowed(t *testing.T) {
 	is := is.New(t)
