feed, affinity, front, hub: places of objects in place of homes

Read as a newcomer: 'homes' named both the regions that a route allows and the upstreams of an object. A field of the planner that nothing read is gone. Behaviour is the same; tests of affinity, hub, front and place pass.

--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -47,11 +47,10 @@
 // Planner is the leader's view of objects; its zero value is ready for use.
 type Planner struct {
 	began  time.Time
-	at     time.Time
 	asked  map[asked]*count
 	places map[place]*home
 	work   map[ident.Service]time.Duration
-	homes  map[ident.Region]feed.Homes // the plan, by the region of the callers
+	plan   map[ident.Region]feed.Places // the plan, by the region of the callers
 	seeds  map[register.UpstreamID]object.Seed
 }
 
@@ -118,7 +117,7 @@
 }
 
 // Adopt takes over the places that a VM holds, as long as this leader is new.
-func (p *Planner) Adopt(now time.Time, region ident.Region, held feed.Homes, regionOf func(register.UpstreamID) ident.Region) {
+func (p *Planner) Adopt(now time.Time, region ident.Region, held feed.Places, regionOf func(register.UpstreamID) ident.Region) {
 	if p.began.IsZero() {
 		p.began = now
 	}
@@ -143,24 +142,24 @@
 
 // publish adds one place to the plan before the next one is made.
 func (p *Planner) publish(region ident.Region, name ident.Service, id object.ID, list []register.UpstreamID) {
-	next := maps.Clone(p.homes[region])
+	next := maps.Clone(p.plan[region])
 	if next == nil {
-		next = feed.Homes{}
+		next = feed.Places{}
 	}
 	by := maps.Clone(next[name])
 	if by == nil {
 		by = map[object.ID][]register.UpstreamID{}
 	}
 	by[id], next[name] = list, by
-	if p.homes == nil {
-		p.homes = map[ident.Region]feed.Homes{}
+	if p.plan == nil {
+		p.plan = map[ident.Region]feed.Places{}
 	}
-	p.homes[region] = next
+	p.plan[region] = next
 }
 
-// Homes returns the plan for the callers of a region: the objects that do not belong to the first upstream of their
+// Places returns the plan for the callers of a region: the objects that do not belong to the first upstream of their
 // order alone. The result must not be changed.
-func (p *Planner) Homes(region ident.Region) feed.Homes { return p.homes[region] }
+func (p *Planner) Places(region ident.Region) feed.Places { return p.plan[region] }
 
 // Plan makes the plan anew.
 func (p *Planner) Plan(now time.Time, pool Pool, flows map[ident.Service]map[ident.Region]feed.Flow) {
@@ -174,7 +173,6 @@
 	for _, g := range demand {
 		p.balance(now, g, pool[g.service][g.region])
 	}
-	p.at = now
 	for k, h := range p.places {
 		if now.Sub(h.last) > forget {
 			delete(p.places, k)
@@ -441,7 +439,7 @@
 
 // describe makes the plan that VMs are told, of the objects that are asked for and of those that were until lately.
 func (p *Planner) describe(groups []*group) {
-	next := map[ident.Region]feed.Homes{}
+	next := map[ident.Region]feed.Places{}
 	for _, g := range groups {
 		for _, w := range g.objects {
 			if len(w.list) == 1 && w.list[0] == w.first {
@@ -449,7 +447,7 @@
 			}
 			for _, r := range w.callers {
 				if next[r] == nil {
-					next[r] = feed.Homes{}
+					next[r] = feed.Places{}
 				}
 				if next[r][g.service] == nil {
 					next[r][g.service] = map[object.ID][]register.UpstreamID{}
@@ -458,16 +456,16 @@
 			}
 		}
 	}
-	for r, homes := range next {
-		if same(homes, p.homes[r]) {
-			next[r] = p.homes[r] // so that readers see that nothing changed
+	for r, places := range next {
+		if same(places, p.plan[r]) {
+			next[r] = p.plan[r] // so that readers see that nothing changed
 		}
 	}
-	p.homes = next
+	p.plan = next
 }
 
 // same reports whether two plans name the same upstreams.
-func same(a, b feed.Homes) bool {
+func same(a, b feed.Places) bool {
 	return maps.EqualFunc(a, b, func(a, b map[object.ID][]register.UpstreamID) bool {
 		return maps.EqualFunc(a, b, slices.Equal[[]register.UpstreamID])
 	})
--- a/control/affinity/affinity_test.go
+++ b/control/affinity/affinity_test.go
@@ -73,8 +73,8 @@
 		o := object.Of(fmt.Sprint(seed, random.IntN(objects)))
 		asked[o]++
 		at := []register.UpstreamID{first(o, all["s"]["a"])}
-		if p != nil && len(p.Homes("a")["s"][o]) > 0 {
-			at = p.Homes("a")["s"][o]
+		if p != nil && len(p.Places("a")["s"][o]) > 0 {
+			at = p.Places("a")["s"][o]
 		}
 		best, slot := at[0], 0
 		for _, id := range at {
@@ -165,13 +165,13 @@
 			for _, r := range []ident.Region{"a", "b"} {
 				p.Report(now, Callers{Region: r}, feed.Asked{"s": rates}, map[ident.Service]time.Duration{"s": work})
 			}
-			before := p.Homes("a")
+			before := p.Places("a")
 			p.Plan(now, all, flows)
-			if round >= 80 && !same(before, p.Homes("a")) {
+			if round >= 80 && !same(before, p.Places("a")) {
 				changed++
 			}
 			for _, r := range []ident.Region{"a", "b"} {
-				for id, list := range p.Homes(r)["s"] {
+				for id, list := range p.Places(r)["s"] {
 					seen := map[register.UpstreamID]bool{}
 					for _, u := range list {
 						region := ident.Region(u[:1])
@@ -209,15 +209,15 @@
 	}
 	old := &Planner{}
 	run(old, 30)
-	held := old.Homes("a")
+	held := old.Places("a")
 	is.True(len(held["s"]) > 0)
 	next := &Planner{}
 	next.Adopt(now, "a", held, func(register.UpstreamID) ident.Region { return "a" })
-	is.True(same(next.Homes("a"), held)) // nothing to tell the VM
+	is.True(same(next.Places("a"), held)) // nothing to tell the VM
 	run(next, 20)
 	moved := 0
 	for id, list := range held["s"] {
-		if !slices.Equal(next.Homes("a")["s"][id], list) {
+		if !slices.Equal(next.Places("a")["s"][id], list) {
 			moved++
 		}
 	}
@@ -244,18 +244,18 @@
 	for range 20 {
 		step()
 	}
-	list := p.Homes("a")["s"][object.Of("hot")]
+	list := p.Places("a")["s"][object.Of("hot")]
 	is.True(len(list) > 1)
 	for _, id := range list {
 		is.Equal(id[:1], register.UpstreamID("a"))
 	}
-	for _, id := range p.Homes("a")["s"][object.Of("tied")] {
+	for _, id := range p.Places("a")["s"][object.Of("tied")] {
 		is.Equal(id[:1], register.UpstreamID("b"))
 	}
-	is.True(len(p.Homes("a")["s"][object.Of("tied")]) > 1)
+	is.True(len(p.Places("a")["s"][object.Of("tied")]) > 1)
 	all["s"]["a"] = slices.DeleteFunc(all["s"]["a"], func(u register.Upstream) bool { return u.ID == list[0] })
 	step()
-	is.True(!slices.Contains(p.Homes("a")["s"][object.Of("hot")], list[0]))
+	is.True(!slices.Contains(p.Places("a")["s"][object.Of("hot")], list[0]))
 }
 
 // Guards against an upstream that seems full to VMs that get no answers from it, or free to those that heard of it
--- a/control/hub/demand.go
+++ b/control/hub/demand.go
@@ -26,8 +26,8 @@
 
 // plan is what the callers of one region follow.
 type plan struct {
-	flows feed.Flows
-	homes feed.Homes
+	flows  feed.Flows
+	places feed.Places
 }
 
 // answerDemand takes over a VM's demand and answers with what changed for it; h.mu is held.
@@ -37,7 +37,7 @@
 		h.takePool(now)
 	}
 	if q.Whole {
-		h.plans.Adopt(now, region, q.Homes, h.regionOf)
+		h.plans.Adopt(now, region, q.Places, h.regionOf)
 	}
 	h.spread.Report(now, q.VM.Name, region, q.Busy, tiedBusy(q.Tied))
 	h.plans.Report(now, affinity.Callers{Region: region}, q.Asked, q.Work)
@@ -50,7 +50,7 @@
 		h.plans.Plan(now, h.pool, h.spread.All())
 	}
 	reply.Full, reply.Uses = h.loads.Sum(now, h.pool)
-	reply.Flows, reply.Homes = h.news(q, plan{roundedFlows(flows), h.plans.Homes(region)})
+	reply.Flows, reply.Places = h.news(q, plan{roundedFlows(flows), h.plans.Places(region)})
 }
 
 func tiedBusy(tied map[ident.Region]feed.Demand) map[ident.Region]map[ident.Service]float64 {
@@ -112,23 +112,23 @@
 }
 
 // news returns what a VM does not follow yet; h.mu is held.
-func (h *Hub) news(q *feed.Report, now plan) (feed.Flows, feed.Homes) {
+func (h *Hub) news(q *feed.Report, now plan) (feed.Flows, feed.Places) {
 	t := h.told[q.VM.Name]
 	if t == nil {
 		t = &told{}
 		h.told[q.VM.Name] = t
 	}
 	if q.Whole {
-		t.known = plan{q.Flows, q.Homes}
+		t.known = plan{q.Flows, q.Places}
 	} else if q.Seen >= t.at {
 		t.known = t.last
 	}
 	t.last = now
-	flows, homes := newFlows(t.known.flows, now.flows), newHomes(t.known.homes, now.homes)
-	if len(flows)+len(homes) > 0 {
+	flows, places := newFlows(t.known.flows, now.flows), newPlaces(t.known.places, now.places)
+	if len(flows)+len(places) > 0 {
 		t.at = q.Sequence
 	}
-	return flows, homes
+	return flows, places
 }
 
 func newFlows(known, now feed.Flows) feed.Flows {
@@ -141,9 +141,9 @@
 	return changed
 }
 
-// newHomes returns the objects whose upstreams changed; an empty list is for those back at the first of their order.
-func newHomes(known, now feed.Homes) feed.Homes {
-	changed := feed.Homes{}
+// newPlaces returns the objects whose upstreams changed; an empty list is for those back at the first of their order.
+func newPlaces(known, now feed.Places) feed.Places {
+	changed := feed.Places{}
 	note := func(name ident.Service, id object.ID, list []register.UpstreamID) {
 		if changed[name] == nil {
 			changed[name] = map[object.ID][]register.UpstreamID{}
--- a/control/hub/demand_test.go
+++ b/control/hub/demand_test.go
@@ -16,21 +16,21 @@
 func TestNewsAreTheDifference(t *testing.T) {
 	is := is.New(t)
 	h := &Hub{told: map[ident.VM]*told{}}
-	homes := func(by map[object.ID][]register.UpstreamID) feed.Homes { return feed.Homes{"s": by} }
+	places := func(by map[object.ID][]register.UpstreamID) feed.Places { return feed.Places{"s": by} }
 	vm := register.VM{Name: "vm"}
-	one := plan{feed.Flows{"s": {"a": 1}}, homes(map[object.ID][]register.UpstreamID{1: {"u1"}, 2: {"u2"}})}
+	one := plan{feed.Flows{"s": {"a": 1}}, places(map[object.ID][]register.UpstreamID{1: {"u1"}, 2: {"u2"}})}
 	flows, got := h.news(&feed.Report{VM: vm, Sequence: 1, Whole: true}, one)
 	is.Equal(flows, one.flows)
-	is.Equal(got, one.homes)
+	is.Equal(got, one.places)
 	flows, got = h.news(&feed.Report{VM: vm, Sequence: 2, Seen: 0}, one) // the first answer was lost
 	is.Equal(flows, one.flows)
-	is.Equal(got, one.homes)
+	is.Equal(got, one.places)
 	flows, got = h.news(&feed.Report{VM: vm, Sequence: 3, Seen: 2}, one)
 	is.Equal(len(flows)+len(got), 0)
-	next := plan{one.flows, homes(map[object.ID][]register.UpstreamID{1: {"u1", "u3"}})}
+	next := plan{one.flows, places(map[object.ID][]register.UpstreamID{1: {"u1", "u3"}})}
 	flows, got = h.news(&feed.Report{VM: vm, Sequence: 4, Seen: 3}, next)
 	is.Equal(len(flows), 0)
-	is.Equal(got, homes(map[object.ID][]register.UpstreamID{1: {"u1", "u3"}, 2: nil})) // 2 is back at the first of its order
+	is.Equal(got, places(map[object.ID][]register.UpstreamID{1: {"u1", "u3"}, 2: nil})) // 2 is back at the first of its order
 	_, got = h.news(&feed.Report{VM: vm, Sequence: 5, Seen: 4}, next)
 	is.Equal(len(got), 0)
 }
--- a/entry/front/demand.go
+++ b/entry/front/demand.go
@@ -18,8 +18,8 @@
 // two reports: callers choose the names of objects.
 const maxAsked = 512
 
-// loggedHomes bounds the places of objects in one line of the log.
-const loggedHomes = 8
+// loggedPlaces bounds the places of objects in one line of the log.
+const loggedPlaces = 8
 
 // demand is what this VM's callers ask for.
 type demand struct {
@@ -75,7 +75,7 @@
 	}
 	r.Sent = f.placer.Inflight()
 	if r.Whole {
-		r.Flows, r.Homes = f.flows, f.placer.Homes()
+		r.Flows, r.Places = f.flows, f.placer.Places()
 	}
 }
 
@@ -109,21 +109,21 @@
 		f.flows = next
 		f.opts.Log.Line(logrus.InfoLevel, "flows", logrus.Fields{"event": "flows", "flows": r.Flows, "term": r.Term}, "flows between regions")
 	}
-	if len(r.Homes) > 0 {
-		f.placer.SetHomes(r.Homes)
-		f.logHomes(q, r)
+	if len(r.Places) > 0 {
+		f.placer.SetPlaces(r.Places)
+		f.logPlaces(q, r)
 	}
 }
 
-// logHomes writes which objects moved, or how many where these are too many for a line.
-func (f *Front) logHomes(q feed.Report, r feed.ReportReply) {
-	fields := logrus.Fields{"event": "homes", "term": r.Term, "report": q.Sequence}
+// logPlaces writes which objects moved, or how many where these are too many for a line.
+func (f *Front) logPlaces(q feed.Report, r feed.ReportReply) {
+	fields := logrus.Fields{"event": "places", "term": r.Term, "report": q.Sequence}
 	n := 0
-	for _, by := range r.Homes {
+	for _, by := range r.Places {
 		n += len(by)
 	}
-	if fields["objects"] = n; n <= loggedHomes {
-		fields["homes"] = r.Homes
+	if fields["objects"] = n; n <= loggedPlaces {
+		fields["places"] = r.Places
 	}
-	f.opts.Log.Line(logrus.InfoLevel, "homes", fields, "the leader moved objects")
+	f.opts.Log.Line(logrus.InfoLevel, "places", fields, "the leader moved objects")
 }
--- a/entry/front/demand_test.go
+++ b/entry/front/demand_test.go
@@ -54,7 +54,7 @@
 }
 
 // Guards against a VM that sends objects elsewhere than the leader planned, or that a new leader believes to have no plan.
-func TestHomesAreFollowed(t *testing.T) {
+func TestPlacesAreFollowed(t *testing.T) {
 	is := is.New(t)
 	fx := start(t, 0, good, good, good, good)
 	where := func() register.UpstreamID {
@@ -73,12 +73,12 @@
 	}
 	tell := func(list ...register.UpstreamID) {
 		fx.Lent(fx.opts.Leases.Now(), fx.Report(), feed.ReportReply{Lease: time.Second,
-			Homes: feed.Homes{"s": {object.Of("x"): list}}})
+			Places: feed.Places{"s": {object.Of("x"): list}}})
 	}
 	tell(other)
 	is.Equal(where(), other)
 	fx.Lent(fx.opts.Leases.Now(), fx.Report(), feed.ReportReply{Term: 2, Again: true})
-	is.Equal(fx.Report().Homes, feed.Homes{"s": {object.Of("x"): {other}}})
+	is.Equal(fx.Report().Places, feed.Places{"s": {object.Of("x"): {other}}})
 	tell()
 	is.Equal(where(), before)
 }
--- a/entry/place/home.go
+++ b/entry/place/home.go
@@ -122,11 +122,11 @@
 	return q.object().Region(p.Regions[p.Domain], q.Flow, serving)
 }
 
-// SetHomes takes over what the leader planned anew.
-func (p *Placer) SetHomes(changed feed.Homes) {
+// SetPlaces takes over what the leader planned anew.
+func (p *Placer) SetPlaces(changed feed.Places) {
 	next := maps.Clone(p.planned)
 	if next == nil {
-		next = feed.Homes{}
+		next = feed.Places{}
 	}
 	for name, by := range changed {
 		all := maps.Clone(next[name])
@@ -143,8 +143,8 @@
 	p.planned = next
 }
 
-// Homes returns what the leader planned; the result must not be changed.
-func (p *Placer) Homes() feed.Homes { return p.planned }
+// Places returns what the leader planned; the result must not be changed.
+func (p *Placer) Places() feed.Places { return p.planned }
 
 // Inflight returns the requests that this VM sent and that are not answered yet.
 func (p *Placer) Inflight() feed.Loads {
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -68,8 +68,8 @@
 
 	services  map[ident.Service]*service
 	upstreams map[register.UpstreamID]*upstream
-	planned   feed.Homes // by the leader
-	uses      feed.Uses  // as the leader told last
+	planned   feed.Places // by the leader
+	uses      feed.Uses   // as the leader told last
 	usesAt    time.Time
 }
 
--- a/fleet/feed/feed.go
+++ b/fleet/feed/feed.go
@@ -73,8 +73,8 @@
 	Asked Asked                     `json:"asked,omitempty"` // since the last report that was answered
 }
 
-// Homes are the upstreams to which objects belong, by service. An empty list means the first of the object's order.
-type Homes map[ident.Service]map[object.ID][]register.UpstreamID
+// Places are the upstreams to which objects belong, by service. An empty list means the first of the object's order.
+type Places map[ident.Service]map[object.ID][]register.UpstreamID
 
 // Loads are requests at upstreams that were sent and not answered yet.
 type Loads map[register.UpstreamID]int
@@ -93,24 +93,24 @@
 	Rates    Rates       `json:"rates,omitempty"`
 
 	Demand
-	Tied  map[ident.Region]Demand         `json:"tied,omitempty"`  // beside Demand, what one region alone may serve
-	Work  map[ident.Service]time.Duration `json:"work,omitempty"`  // for which a request for a known object keeps a slot busy
-	Sent  Loads                           `json:"sent,omitempty"`  // by this VM
-	Flows Flows                           `json:"flows,omitempty"` // that this VM follows, in whole reports
-	Homes Homes                           `json:"homes,omitempty"` // the same
+	Tied   map[ident.Region]Demand         `json:"tied,omitempty"`   // beside Demand, what one region alone may serve
+	Work   map[ident.Service]time.Duration `json:"work,omitempty"`   // for which a request for a known object keeps a slot busy
+	Sent   Loads                           `json:"sent,omitempty"`   // by this VM
+	Flows  Flows                           `json:"flows,omitempty"`  // that this VM follows, in whole reports
+	Places Places                          `json:"places,omitempty"` // the same
 }
 
 // ReportReply renews the lease of all allowances and changes some.
 type ReportReply struct {
-	Term  ident.Term    `json:"term"`
-	Again bool          `json:"again,omitempty"` // the leader does not know this VM and needs a whole report
-	Allow Allowances    `json:"allow,omitempty"`
-	Lease time.Duration `json:"lease"`
-	VMs   int           `json:"vms"`             // entry VMs that share the rates
-	Flows Flows         `json:"flows,omitempty"` // those that changed
-	Homes Homes         `json:"homes,omitempty"` // those that changed
-	Full  Loads         `json:"full,omitempty"`  // of all VMs together, at upstreams whose slots are all in use
-	Uses  Uses          `json:"uses,omitempty"`
+	Term   ident.Term    `json:"term"`
+	Again  bool          `json:"again,omitempty"` // the leader does not know this VM and needs a whole report
+	Allow  Allowances    `json:"allow,omitempty"`
+	Lease  time.Duration `json:"lease"`
+	VMs    int           `json:"vms"`              // entry VMs that share the rates
+	Flows  Flows         `json:"flows,omitempty"`  // those that changed
+	Places Places        `json:"places,omitempty"` // those that changed
+	Full   Loads         `json:"full,omitempty"`   // of all VMs together, at upstreams whose slots are all in use
+	Uses   Uses          `json:"uses,omitempty"`
 }
 
 // ProposeReply is the outcome of a forwarded command.
