affinity, hub, share, front: derive what can be derived, sum slots once

Found on reading the whole change; behaviour is as it was, no check changed. share: 'lost' is the same as a count that stands beside it. affinity: the test for an object that needs no plan stood twice; the reuse of an equal plan had no reader (the comparison moved to the test that uses it); a new leader cloned its tables for each object that it takes over, now for each service; mostUpstreams in place of mostHomes. hub: slots were summed for each report, 180 a second on a grown site, and are now when the pool is taken. front: 'first' in place of 'began', which is also a time there.

--- a/control/affinity/affinity.go
+++ b/control/affinity/affinity.go
@@ -34,8 +34,8 @@
 	merge = 0.5
 	// movePart bounds the objects of one region that one plan moves.
 	movePart = 0.1
-	// mostHomes bounds the upstreams of one object.
-	mostHomes = 6
+	// mostUpstreams bounds the upstreams of one object.
+	mostUpstreams = 6
 	// maxObjects bounds the objects that are counted, ten times those of the known deployments: callers choose their
 	// names. Others stay at the first upstream of their order.
 	maxObjects = 16384
@@ -127,30 +127,22 @@
 	if now.Sub(p.began) >= settling {
 		return
 	}
+	next := feed.Places{} // VMs were told the former one, which must not change
+	maps.Copy(next, p.plan[region])
 	for name, by := range held {
+		places := map[object.ID][]register.UpstreamID{}
+		maps.Copy(places, next[name])
 		for id, list := range by {
 			if len(list) == 0 {
 				continue
 			}
 			if k := (place{name, regionOf(list[0]), id}); p.places[k] == nil && k.region != "" {
 				p.places[k] = &home{list: list, last: now}
-				p.publish(region, name, id, list)
+				places[id] = list
 			}
 		}
+		next[name] = places
 	}
-}
-
-// publish adds one place to the plan before the next one is made.
-func (p *Planner) publish(region ident.Region, name ident.Service, id object.ID, list []register.UpstreamID) {
-	next := maps.Clone(p.plan[region])
-	if next == nil {
-		next = feed.Places{}
-	}
-	by := maps.Clone(next[name])
-	if by == nil {
-		by = map[object.ID][]register.UpstreamID{}
-	}
-	by[id], next[name] = list, by
 	if p.plan == nil {
 		p.plan = map[ident.Region]feed.Places{}
 	}
@@ -197,6 +189,9 @@
 	list    []register.UpstreamID
 }
 
+// unplanned reports whether an object belongs to the first upstream of its order alone.
+func (w *want) unplanned() bool { return len(w.list) == 1 && w.list[0] == w.first }
+
 // demand returns the objects in use by where they are served, in a fixed order.
 func (p *Planner) demand(now time.Time, pool Pool, flows map[ident.Service]map[ident.Region]feed.Flow) []*group {
 	wants := map[place]*want{}
@@ -308,7 +303,7 @@
 	l.relieve(g, moves)
 	for _, w := range g.objects {
 		k := place{g.service, g.region, w.id}
-		if len(w.list) == 1 && w.list[0] == w.first {
+		if w.unplanned() {
 			delete(p.places, k)
 			continue
 		}
@@ -356,7 +351,7 @@
 	n := float64(len(w.list))
 	one := l.level * slots
 	switch {
-	case w.slots > n*one && len(w.list) < min(mostHomes, len(l.list)):
+	case w.slots > n*one && len(w.list) < min(mostUpstreams, len(l.list)):
 		share := w.slots / (n + 1)
 		id, fill := l.emptiest(w, share)
 		if fill > l.level && fill > better*l.fill(w.list[0]) {
@@ -442,7 +437,7 @@
 	next := map[ident.Region]feed.Places{}
 	for _, g := range groups {
 		for _, w := range g.objects {
-			if len(w.list) == 1 && w.list[0] == w.first {
+			if w.unplanned() {
 				continue
 			}
 			for _, r := range w.callers {
@@ -456,17 +451,5 @@
 			}
 		}
 	}
-	for r, places := range next {
-		if same(places, p.plan[r]) {
-			next[r] = p.plan[r] // so that readers see that nothing changed
-		}
-	}
 	p.plan = next
 }
-
-// same reports whether two plans name the same upstreams.
-func same(a, b feed.Places) bool {
-	return maps.EqualFunc(a, b, func(a, b map[object.ID][]register.UpstreamID) bool {
-		return maps.EqualFunc(a, b, slices.Equal[[]register.UpstreamID])
-	})
-}
--- a/control/affinity/affinity_test.go
+++ b/control/affinity/affinity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -36,6 +37,13 @@
 	return Pool{"s": by}
 }
 
+// same reports whether two plans name the same upstreams.
+func same(a, b feed.Places) bool {
+	return maps.EqualFunc(a, b, func(a, b map[object.ID][]register.UpstreamID) bool {
+		return maps.EqualFunc(a, b, slices.Equal[[]register.UpstreamID])
+	})
+}
+
 // first is where an object belongs without a plan.
 func first(o object.ID, list []register.Upstream) register.UpstreamID {
 	return slices.MaxFunc(list, func(a, b register.Upstream) int {
--- a/control/hub/demand.go
+++ b/control/hub/demand.go
@@ -45,7 +45,7 @@
 		h.plans.Report(now, affinity.Callers{Region: region, Tied: home}, d.Asked, nil)
 	}
 	h.loads.Report(now, q.VM.Name, q.Sent)
-	flows := h.spread.Flows(now, region, h.room(), q.Flows)
+	flows := h.spread.Flows(now, region, h.room, q.Flows)
 	if fresh {
 		h.plans.Plan(now, h.pool, h.spread.All())
 	}
@@ -61,21 +61,20 @@
 	return busy
 }
 
-// takePool notes the upstreams that may be used.
+// takePool notes the upstreams that may be used, and their slots; h.mu is held.
 func (h *Hub) takePool(now time.Time) {
-	h.pool, h.pooled = affinity.Pool{}, now
+	h.pool, h.room, h.pooled = affinity.Pool{}, spread.Room{}, now
 	h.opts.Machine.view(func(r *register.Register) {
 		for _, u := range r.Upstreams {
-			by := h.pool[u.Service]
-			if by == nil {
-				by = map[ident.Region][]register.Upstream{}
-				h.pool[u.Service] = by
+			if h.pool[u.Service] == nil {
+				h.pool[u.Service], h.room[u.Service] = map[ident.Region][]register.Upstream{}, map[ident.Region]float64{}
 			}
 			region := h.opts.Regions[u.Domain]
-			by[region] = append(by[region], u)
-			if u.State != register.Ready || r.Drained[u.Domain] {
-				by[region] = by[region][:len(by[region])-1] // the region is known, with fewer slots
+			list, slots := h.pool[u.Service][region], h.room[u.Service][region]
+			if u.State == register.Ready && !r.Drained[u.Domain] {
+				list, slots = append(list, u), slots+float64(u.Slots)
 			}
+			h.pool[u.Service][region], h.room[u.Service][region] = list, slots // known also where none may be used
 		}
 	})
 	for _, by := range h.pool {
@@ -96,21 +95,6 @@
 	return region
 }
 
-// room counts the slots that may be used, by service and region; h.mu is held.
-func (h *Hub) room() spread.Room {
-	room := make(spread.Room, len(h.pool))
-	for name, by := range h.pool {
-		room[name] = make(map[ident.Region]float64, len(by))
-		for r, list := range by {
-			room[name][r] = 0
-			for _, u := range list {
-				room[name][r] += float64(u.Slots)
-			}
-		}
-	}
-	return room
-}
-
 // news returns what a VM does not follow yet; h.mu is held.
 func (h *Hub) news(q *feed.Report, now plan) (feed.Flows, feed.Places) {
 	t := h.told[q.VM.Name]
--- a/control/hub/hub.go
+++ b/control/hub/hub.go
@@ -63,6 +63,7 @@
 	plans   affinity.Planner
 	loads   affinity.Loads
 	pool    affinity.Pool // of upstreams that may be used, as of pooled
+	room    spread.Room   // their slots
 	pooled  time.Time
 	vms     map[ident.VM]time.Time            // last report to this leader
 	down    map[ident.VM]time.Time            // since when this member knows VMs to be down
--- a/control/share/share.go
+++ b/control/share/share.go
@@ -41,8 +41,7 @@
 	unheard map[ident.VM]bool
 	settled time.Time
 	began   time.Time // of the term
-	lost    bool      // runs that ended shortly before the term let an unknown number through
-	anew    int       // VMs that held allowances of an earlier leader in a run before the one that reported
+	anew    int       // VMs that reported a new run, whose runs before let an unknown number through
 	kept    int       // the same, whose run went on
 }
 
@@ -147,7 +146,6 @@
 	}
 	if l.unheard[r.VM.Name] {
 		if r.Fresh {
-			l.lost = true
 			l.anew++
 		} else {
 			l.kept++
@@ -279,7 +277,7 @@
 		return 0
 	}
 	most := float64(s.most)
-	if l.lost && now.Sub(l.began) < l.Allowance.Span {
+	if l.anew > 0 && now.Sub(l.began) < l.Allowance.Span {
 		most *= min(1, (now.Sub(l.began)+startRoom).Seconds()/l.Allowance.Span.Seconds())
 	}
 	if now.Before(l.settled) {
--- a/entry/front/serve.go
+++ b/entry/front/serve.go
@@ -255,8 +255,8 @@
 	now := f.opts.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	began := c.service != ""
-	if !began {
+	first := c.service == ""
+	if first {
 		c.service = f.part(c.route)
 		f.retries.Arrived(now, c.service)
 	}
@@ -270,7 +270,7 @@
 		},
 		Resting: func(d ident.Domain) bool { return now.Sub(f.rested[d]) < settings.Cold },
 	}
-	if !began {
+	if first {
 		f.countDemand(query)
 	}
 	choice, ok := f.placer.Choose(now, query)
--- a/entry/place/place.go
+++ b/entry/place/place.go
@@ -103,7 +103,7 @@
 	distance Distance
 	seed     object.Seed
 	inflight int
-	others   float64 // requests of other VMs at the upstream, by what it told last
+	others   float64 // requests of other VMs at the upstream, by what it or the leader told last
 	usual    float64 // the mean of that
 	toldAt   time.Time
 	slow     float64 // its mean time in parts of the service's; 1 at first
