entry/gateway: a connection that was closed as idle is not read any more

Closing a connection as idle closed the sending side and went on to read and discard for a second, so that the process read requests which the VM's link had held back, and answered none. The same held for connections closed to make room and after the idle timeout.

Closing now only marks the connection and ends the server's pending read. That read decides: bytes that were received by then begin a request, which is served. Otherwise the sending side is closed, and nothing is read after that. A request that arrives later stays unread until the client closes its side or a second is over; the reset then tells the client that it may repeat the request elsewhere. No response is in transit on such a connection longer than that second.

TestRequestReceivedWhileClosingIsServed covers the decision. TestCloseIdle waits until the two connections are closed before it writes to them, as the close is now made by the pending read; its checks are as before.

--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -17,15 +17,19 @@
 
 // States of a client connection.
 const (
-	connIdle   uint32 = iota // no byte of the next request has been received
-	connActive               // a request is being received or answered
-	connClosed               // the sending side is closed and received bytes are discarded
+	connIdle    uint32 = iota // no byte of the next request has been received
+	connActive                // a request is being received or answered
+	connClosing               // it is closed unless bytes of a request are received first
+	connClosed                // the sending side is closed
 )
 
 // lingerTimeout is how long a connection that was closed by this side waits for the client to close
-// its side. Closing it at once could reset a request that is in transit.
+// its side. Closing it at once could reset a response that is in transit.
 const lingerTimeout = time.Second
 
+// expired is a read deadline that ends a pending read.
+var expired = time.Unix(1, 0)
+
 // callerConn is a client connection that can be closed between requests without a TCP reset.
 type callerConn struct {
 	*net.TCPConn
@@ -35,29 +39,86 @@
 	nextRequestBegun atomic.Bool   // the first byte of the next request was received before the server reported the connection idle
 	idleSince        atomic.Int64  // when the last request ended or the connection was accepted, in nanoseconds of Unix time
 
+	deadlineMu   sync.Mutex
+	readDeadline time.Time // as set by the server
+
 	requestsAtSweep uint32 // value of requests at the last sweep
 	idleSweeps      int    // consecutive sweeps without a new request
 }
 
-// Read implements net.Conn. A compare-and-swap of the state decides whether a request begins or the
-// connection closes, so that a request whose first byte was received is always served.
+// Read implements net.Conn. It decides whether a request begins or the connection closes, so that a request whose first
+// byte was read is always served, and nothing is read once the sending side is closed.
 func (c *callerConn) Read(b []byte) (int, error) {
 	for {
+		if c.state.Load() == connClosed {
+			return 0, io.EOF
+		}
 		n, err := c.TCPConn.Read(b)
-		if n > 0 && c.state.CompareAndSwap(connIdle, connActive) {
-			c.requests.Add(1)
-		} else if n == 1 && len(b) == 1 {
-			// After a request's body the server reads one byte to detect a disconnect. A byte
-			// that arrives belongs to the next request.
-			c.nextRequestBegun.Store(true)
+		if n > 0 {
+			if c.begin() {
+				c.requests.Add(1)
+			} else if n == 1 && len(b) == 1 {
+				// After a request's body the server reads one byte to detect a disconnect. A byte
+				// that arrives belongs to the next request.
+				c.nextRequestBegun.Store(true)
+			}
+			return n, err
 		}
-		if c.state.Load() != connClosed {
+		if c.state.Load() != connClosing {
 			return n, err
 		}
-		if err != nil {
-			return 0, io.EOF
+		if unread, _ := c.peek(); unread {
+			if c.begin() {
+				c.requests.Add(1)
+			}
+			continue
 		}
+		if c.state.CompareAndSwap(connClosing, connClosed) {
+			// An error means that the client has already closed the connection.
+			_ = c.TCPConn.CloseWrite()
+			c.awaitClientClose()
+		}
+	}
+}
+
+// begin marks an idle or closing connection as active and reports whether it was one.
+func (c *callerConn) begin() bool {
+	if c.state.CompareAndSwap(connIdle, connActive) {
+		return true
+	}
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if !c.state.CompareAndSwap(connClosing, connActive) {
+		return false
+	}
+	_ = c.TCPConn.SetReadDeadline(c.readDeadline) // fails only if the connection is already closed
+	return true
+}
+
+// SetReadDeadline implements net.Conn. A connection that is to be closed keeps its expired deadline.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	c.readDeadline = t
+	if c.state.Load() == connClosing {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// awaitClientClose waits until the client has closed its side, or for lingerTimeout. It reads nothing: a request that
+// arrives now cannot be answered, and the reset of a connection with unread bytes tells the client that it was not read.
+func (c *callerConn) awaitClientClose() {
+	raw, err := c.SyscallConn()
+	if err != nil || c.TCPConn.SetReadDeadline(c.listener.now().Add(lingerTimeout)) != nil {
+		return // the connection is already closed
 	}
+	// An error means that the time is over or the connection is closed.
+	_ = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n == 0 && err == nil || err != nil && err != syscall.EAGAIN
+	})
 }
 
 // connKey is the context key of the connection of a request.
@@ -95,37 +156,40 @@
 // request's body. Those bytes are discarded for lingerTimeout, because they would otherwise cause a
 // reset that could destroy the response on its way to the client.
 func (c *callerConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
 	if c.state.Swap(connClosed) != connActive || c.TCPConn.CloseWrite() != nil {
-		return c.TCPConn.Close()
+		return c.closeSocket()
 	}
 	if err := c.TCPConn.SetReadDeadline(c.listener.now().Add(lingerTimeout)); err != nil {
-		return c.TCPConn.Close()
+		return c.closeSocket()
 	}
 	go func() {
 		_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.TCPConn})
-		_ = c.TCPConn.Close()
+		_ = c.closeSocket()
 	}()
 	return nil
 }
 
-// closeIfIdle closes the sending side if no request has begun. On a busy VM a request may have been received long before
-// the server reads it.
-func (c *callerConn) closeIfIdle(now time.Time) {
+func (c *callerConn) closeSocket() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// closeIfIdle makes the pending read close the connection, unless a request has been received by then. On a busy VM a
+// request may have been received long before the server reads it.
+func (c *callerConn) closeIfIdle() {
 	if c.state.Load() != connIdle {
 		return
 	}
 	if unread, _ := c.peek(); unread {
 		return
 	}
-	if !c.state.CompareAndSwap(connIdle, connClosed) {
-		return
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+	if c.state.CompareAndSwap(connIdle, connClosing) {
+		_ = c.TCPConn.SetReadDeadline(expired) // fails only if the connection is already closed
 	}
-	// An error means that the client has already closed the connection.
-	_ = c.TCPConn.CloseWrite()
-	_ = c.TCPConn.SetReadDeadline(now.Add(lingerTimeout))
 }
 
 // trackState updates the state from the server's view of the connection. It is the server's
@@ -146,7 +210,7 @@
 	case http.StateActive:
 		// The first bytes of this request may have been received together with the previous
 		// request.
-		c.state.CompareAndSwap(connIdle, connActive)
+		c.begin()
 	}
 }
 
@@ -224,7 +288,7 @@
 	slices.SortFunc(idle, func(a, b *callerConn) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
 	surplus := len(l.conns) - int(crowdedFraction*float64(l.MaxConns))
 	for _, c := range idle[:min(max(surplus, 0), len(idle))] {
-		c.closeIfIdle(now)
+		c.closeIfIdle()
 	}
 }
 
@@ -236,7 +300,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if c.idleSince.Load() <= cutoff {
-			c.closeIfIdle(now)
+			c.closeIfIdle()
 		}
 	}
 }
@@ -258,7 +322,7 @@
 		c.idleSweeps++
 		awaitsFirst := c.requestsAtSweep == 0 && now.UnixNano()-c.idleSince.Load() < int64(minReclaimIdle)
 		if c.idleSweeps >= idleCalls && !awaitsFirst {
-			c.closeIfIdle(now)
+			c.closeIfIdle()
 		}
 	}
 	return idleCount
--- a/entry/gateway/conn_test.go
+++ b/entry/gateway/conn_test.go
@@ -6,11 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"cuminfall.example/fleet/clock"
 )
@@ -56,6 +58,9 @@
 	b.gateway.Leave()
 	b.listener.CloseIdle(time.Now(), 1000)                              // the first request of a new connection may be in transit
 	b.Equal(b.listener.CloseIdle(time.Now().Add(minReclaimIdle), 1), 2) // idle and unused
+	for deadline := time.Now().Add(2 * time.Second); b.listener.connsIn(connClosed) != 2; time.Sleep(time.Millisecond) {
+		b.True(time.Now().Before(deadline)) // the pending reads must close the connections
+	}
 	for _, c := range []*caller{idle, unused} {
 		_, _ = io.WriteString(c, "GET"+head+"\r\n")
 		_, err := c.in.ReadByte()
@@ -114,6 +119,37 @@
 	is.Equal(string(b[:n]), "GET")
 }
 
+// Guards against losing a request that arrives after its connection was found idle and before it is closed.
+func TestRequestReceivedWhileClosingIsServed(t *testing.T) {
+	is := is.New(t)
+	l, err := Listen(context.Background(), "127.0.0.1:0", time.Second)
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	conn, err := l.Accept()
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	l.CloseUnused(0)
+	_, err = io.WriteString(client, "GET")
+	is.NoErr(err)
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
+		if unread, _ := conn.(*callerConn).peek(); unread {
+			break
+		}
+		is.True(time.Now().Before(end)) // the bytes must arrive
+	}
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Second)))
+	b := make([]byte, 8)
+	n, err := conn.Read(b)
+	is.NoErr(err)
+	is.Equal(string(b[:n]), "GET")
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	_, err = conn.Read(b)
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // the deadline applies again, and the connection is open
+}
+
 // Guards against a stop that waits without limit for claims that cannot be abandoned.
 func TestWaitIsBounded(t *testing.T) {
 	b := newHarness(t, nil, 0)
@@ -229,12 +265,15 @@
 }
 
 // idleCount returns how many open connections have no request.
-func (l *Listener) idleCount() int {
+func (l *Listener) idleCount() int { return l.connsIn(connIdle) }
+
+// connsIn returns how many open connections are in a state.
+func (l *Listener) connsIn(state uint32) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count := 0
 	for c := range l.conns {
-		if c.state.Load() == connIdle {
+		if c.state.Load() == state {
 			count++
 		}
 	}
