entry/gateway: a graceful shutdown answers requests whose head is still arriving

Callers whose request reached a stopping VM in two parts saw the connection end with no answer: net/http's Shutdown closes connections whose request head it is still reading, and drops a request that it has read whole after its Shutdown began. EndAccepting leaves such connections open, as a request has begun on them. On slow links and busy VMs a head takes long.

The listener now closes itself, closes connections without a request until none is open, and closes the server then. It waits for connections that linger, so that the end of the process does not reset an answer after which the caller still sends.

--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -62,19 +62,27 @@
 	return nil
 }
 
-// Shutdown shuts down the listener's server after EndAccepting. Meanwhile it closes connections without a request, for
-// which the server alone would wait up to 5 s. It returns the error of ctx if requests are still in progress at its end.
+// Shutdown closes the listener after EndAccepting, and its server once no connection is open. Meanwhile it closes
+// connections without a request. It returns the error of ctx if connections are still open at its end. The server's own
+// Shutdown would drop a request whose head it is still reading.
 func (l *Listener) Shutdown(ctx context.Context, server *http.Server) error {
-	done := make(chan error, 1)
-	go func() { done <- server.Shutdown(ctx) }()
-	for {
-		select {
-		case err := <-done:
-			return err
-		case <-l.clock().After(shutdownSweepInterval):
-			l.CloseIdle(l.now(), 1)
+	if err := l.Close(); err != nil {
+		return errors.Wrap(err, "close the listener")
+	}
+	for l.openCount() > 0 {
+		l.CloseIdle(l.now(), 1)
+		if err := clock.Sleep(ctx, l.clock(), shutdownSweepInterval); err != nil {
+			return errors.WithStack(err)
 		}
 	}
+	_ = server.Close() // the listener is already closed, which it may report
+	return nil
+}
+
+func (l *Listener) openCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
 }
 
 // ignoreNewClients attaches a packet filter to a listening socket that drops each SYN, and keeps the packets that
--- /dev/null
+++ b/entry/gateway/shutdown_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+)
+
+// Guards against a graceful shutdown that reads a request and drops it, because its head was still arriving when the
+// server began to shut down.
+func TestShutdownAnswersRequestWhoseHeadIsArriving(t *testing.T) {
+	u := &recordingUpstream{body: "ok"}
+	b := newHarness(t, map[string]string{"forecast": u.start(t)}, 0)
+	const head = " /forecast/a HTTP/1.1\r\nHost: x\r\nRequest-Timeout: 4s\r\nAuthorization: " + bearer + "\r\n\r\n"
+	first, kept := b.dial(), b.dial()
+	_, _ = io.WriteString(kept, "GET"+head)
+	b.Equal(kept.readResponse().Close, false)
+	for _, c := range []*caller{first, kept} {
+		_, _ = io.WriteString(c, "GET /fore")
+	}
+	for end := time.Now().Add(2 * time.Second); b.listener.idleCount() != 0; time.Sleep(time.Millisecond) {
+		b.True(time.Now().Before(end)) // the server must read the first bytes
+	}
+	b.gateway.Leave()
+	b.NoErr(b.listener.EndAccepting(context.Background()))
+	ended := make(chan error, 1)
+	go func() { ended <- b.listener.Shutdown(context.Background(), b.server) }()
+	time.Sleep(50 * time.Millisecond)
+	for _, c := range []*caller{first, kept} {
+		_, _ = io.WriteString(c, head[len(" /fore"):])
+		b.Equal(c.readResponse().StatusCode, 200)
+	}
+	b.NoErr(<-ended)
+	b.Equal(u.runCount(), 3)
+}
