--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -77,6 +77,10 @@
 			// An error means that the client has already closed the connection.
 			_ = c.TCPConn.CloseWrite()
 			c.awaitClientClose()
+			c.listener.idleCloses.Add(1)
+			if unread, _ := c.peek(); unread {
+				c.listener.crossedCloses.Add(1)
+			}
 		}
 	}
 }
@@ -223,6 +227,9 @@
 	MaxConns int
 	Clock    clock.Clock // nil means the system's clock
 
+	idleCloses    atomic.Int64
+	crossedCloses atomic.Int64
+
 	mu           sync.Mutex
 	conns        map[*callerConn]struct{}
 	lastAccepted time.Time // when the last connection was accepted
@@ -267,6 +274,12 @@
 	return c, nil
 }
 
+// IdleCloses returns how many connections were closed as idle, and on how many of them a request crossed the close: it
+// arrived later and was not read.
+func (l *Listener) IdleCloses() (closed, crossed int64) {
+	return l.idleCloses.Load(), l.crossedCloses.Load()
+}
+
 // Crowded reports whether so many client connections are open that clients whose request was refused
 // should not keep theirs.
 func (l *Listener) Crowded() bool {
--- a/entry/gateway/run/run.go
+++ b/entry/gateway/run/run.go
@@ -234,7 +234,8 @@
 	if err := c.session.FinalSync(finalCtx, c.gateway); err != nil {
 		c.log.WithError(err).Warn("could not return this VM's shares; they are released when its lease expires")
 	}
-	c.log.Info("stopped")
+	closed, crossed := listener.IdleCloses()
+	c.log.WithFields(logrus.Fields{"idle": closed, "crossed": crossed}).Info("stopped")
 	return nil
 }
 
--- a/entry/proxy/run.go
+++ b/entry/proxy/run.go
@@ -71,7 +71,8 @@
 	_ = server.Close()
 	_ = readyServer.Close()
 	p.opts.Forward.Close()
-	p.opts.Log.WithField("event", "stop").Info("stopped")
+	closed, crossed := listener.IdleCloses()
+	p.opts.Log.WithFields(logrus.Fields{"event": "stop", "idle": closed, "crossed": crossed}).Info("stopped")
 	return err
 }
 
