entry/forward: a refusal is believed only if it can only be this request's

Callers of a faulty upstream were told "not run" for requests that had run, or the request ran at a second upstream: the upstream wrote an earlier refusal without an id once more, before the answer to the next request on the kept connection.

Cause: an answer without an id set conn.echoes to false, so that the next answer without one was taken for the next request's. README's door never demanded an id where the upstream had sent none.

Why it works, as a rule of the connection: where upstreams echo the caller's id, a final answer without it is accepted only on a new connection, its "not run" never, and the connection is not kept; nor is one on which another request's answer came. A connection carries an id once, and requests without an id get new ones. On README's door "not run" without an id is believed on a new connection only, which is then closed; claimed requests and uploads take a connection on which the upstream echoes, or a new one. All ids in a head must be this request's, and a head that contains a status line is refused. A request for which this leaves doubt ends as unknown, with a log line.

load/upstream echoes the id in its refusals and at its deadline too, as an upstream that echoes does.

--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -25,8 +25,10 @@
 
 // conn is a connection to an upstream. One exchange at a time uses it.
 type conn struct {
-	reused  bool // the connection has served an earlier request
-	echoes  bool // an earlier response on the connection carried the ID of its request
+	reused  bool       // the connection has served an earlier request
+	echoes  bool       // an earlier response on the connection carried the ID of its request
+	suspect bool       // a response on the connection named no request or another one, so the connection is not reused
+	carried carriedIDs // callers' request IDs that were sent on the connection
 	tcp     *net.TCPConn
 	rawConn syscall.RawConn
 	pool    *pool
--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -32,6 +32,7 @@
 	uploadDone        chan struct{} // closed when the upload goroutine returns; nil without a streamed body
 	requestSent       atomic.Bool   // the whole request was written
 	finalWriteStarted atomic.Bool   // the last bytes of the request were written, or their write has begun
+	identified        bool          // see Identified
 	complete          bool          // the response was read to its end
 	closed            bool
 }
@@ -230,7 +231,11 @@
 		if err != nil {
 			return x.failWith(err)
 		}
+		if containsStatusLine(response.Header) {
+			return x.failWith(errors.New("response's head contains the head of another response"))
+		}
 		if !x.isOwnResponse(response) {
+			x.conn.suspect = true
 			x.conn.pool.client.Stats.Crossed.Add(1)
 			if !x.skipResponse(response) {
 				return x.failWith(errors.New("response carries the ID of another request"))
@@ -248,14 +253,17 @@
 	return x.failWith(errors.New("upstream sent no final response"))
 }
 
-// isOwnResponse reports whether a response may belong to this request. A final response without an ID is that of another
-// request if the upstream sent IDs on this connection before: it may be a late copy that lost its header.
+// isOwnResponse reports whether a response may belong to this request. A final response without an ID may be a late copy
+// of an earlier one. It is accepted only on a new connection, or where the upstream need not send IDs and has sent none.
 func (x *Exchange) isOwnResponse(response *http.Response) bool {
 	format := x.wireFormat()
 	if !format.matchesRequest(response.Header, x.request, x.id) {
 		return false
 	}
-	return !x.conn.echoes || response.StatusCode < 200 || format.carriesID(response.Header)
+	if response.StatusCode < 200 || format.carriesID(response.Header) || !x.conn.reused {
+		return true
+	}
+	return format.RequestIDHeader == "" && !x.conn.echoes
 }
 
 // maxSkippedBytes is the largest body of a response to another request that is skipped.
@@ -292,7 +300,11 @@
 		x.complete = true
 	}
 	x.conn.readKeepAlive(response.Header)
-	x.conn.echoes = x.wireFormat().carriesID(response.Header)
+	hasID := x.wireFormat().carriesID(response.Header)
+	x.identified = hasID || !x.conn.reused && x.wireFormat().requestID(x.request) == ""
+	x.conn.echoes = x.conn.echoes || hasID
+	// A copy of this response could be taken for the next request's.
+	x.conn.suspect = x.conn.suspect || !hasID && (x.wireFormat().RequestIDHeader != "" || PromisesNotExecuted(x.Status))
 	RemoveHopByHop(response.Header)
 	delete(response.Header, AttemptIDHeader)
 	x.Header = response.Header
@@ -300,6 +312,11 @@
 	return nil
 }
 
+// Identified reports whether the response belongs to this request for certain: it carries the request's ID, or the
+// upstream could not send that ID and it is the first response on its connection. Only then is a statement that the
+// request did not run to be believed.
+func (x *Exchange) Identified() bool { return x.identified }
+
 // Complete reports whether the response was read to its end.
 func (x *Exchange) Complete() bool { return x.complete }
 
@@ -347,7 +364,7 @@
 	}
 	x.closed = true
 	contextLive := x.stopCancelHook()
-	reusable := contextLive && x.complete && x.requestSent.Load() && x.cause.Load() == 0 && !x.response.Close
+	reusable := contextLive && x.complete && x.requestSent.Load() && x.cause.Load() == 0 && !x.response.Close && !x.conn.suspect
 	if !reusable {
 		x.cause.CompareAndSwap(0, uint32(Broken))
 		x.conn.closeSocket()
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -39,7 +39,7 @@
 type Stats struct {
 	Dialed  atomic.Int64 // new connections
 	Reused  atomic.Int64 // requests on an idle connection
-	Stale   atomic.Int64 // idle connections that were closed, too old or had unexpected bytes to read
+	Stale   atomic.Int64 // idle connections that were closed, too old, had unexpected bytes to read or would not identify the response
 	Silent  atomic.Int64 // connections closed because they made no progress
 	Limited atomic.Int64 // requests that got no connection because of the limit
 	Crossed atomic.Int64 // responses that carried the ID of another attempt
@@ -96,6 +96,7 @@
 	Deadline      time.Time
 	MaxIdle       time.Duration // idle time up to which a connection may be reused; 0 means no limit
 	NewConnection bool          // open a new connection, because an earlier attempt failed on a reused one
+	NeedsIdentity bool          // use a connection on which the response is known to belong to this request
 	Body          []byte        // the whole body, if Stream is nil
 	Stream        io.Reader     // the body; another goroutine reads it until Close or a failed Do returns
 	Length        int64         // length of Stream in bytes; -1 if unknown
@@ -238,6 +239,7 @@
 	}
 	x := &Exchange{conn: cn, request: r, ctx: ctx, id: attemptID{c.id, c.lastSerial.Add(1)}}
 	cn.startExchange(x, r.Deadline)
+	cn.carried.add(c.wireFormat.requestID(r))
 	x.stopCancelHook = context.AfterFunc(ctx, x.onCancel)
 	err = x.send()
 	if err == nil {
--- a/entry/forward/head.go
+++ b/entry/forward/head.go
@@ -90,34 +90,40 @@
 	return strconv.AppendUint(append(b, '-'), id.serial, 16)
 }
 
-// matchesRequest reports whether a response's head carries the request's ID or no ID at all.
-func (f *WireFormat) matchesRequest(h http.Header, r *Request, id attemptID) bool {
-	if f.RequestIDHeader != "" {
-		got := h.Get(f.RequestIDHeader)
-		return got == "" || got == r.Header.Get(f.RequestIDHeader)
+// requestID returns the caller's ID of a request, or "" if it has none or upstreams echo the attempt's ID instead.
+func (f *WireFormat) requestID(r *Request) string {
+	if f.RequestIDHeader == "" {
+		return ""
 	}
-	return id.matchesEcho(h)
+	return r.Header.Get(f.RequestIDHeader)
 }
 
-// carriesID reports whether a response's head carries the ID of any request.
-func (f *WireFormat) carriesID(h http.Header) bool {
+// echoedIDs returns the request IDs in a response's head.
+func (f *WireFormat) echoedIDs(h http.Header) []string {
 	if f.RequestIDHeader != "" {
-		return h.Get(f.RequestIDHeader) != ""
+		return h.Values(f.RequestIDHeader)
 	}
-	return len(h[AttemptIDHeader]) > 0
+	return h[AttemptIDHeader]
 }
 
-func (id attemptID) matchesEcho(h http.Header) bool {
+// matchesRequest reports whether a response's head carries the request's ID or no ID at all.
+func (f *WireFormat) matchesRequest(h http.Header, r *Request, id attemptID) bool {
 	var buf [40]byte
 	want := id.appendTo(buf[:0])
-	for _, v := range h[AttemptIDHeader] {
-		if v != string(want) {
+	if f.RequestIDHeader != "" {
+		want = append(buf[:0], f.requestID(r)...)
+	}
+	for _, got := range f.echoedIDs(h) {
+		if got != string(want) {
 			return false
 		}
 	}
 	return true
 }
 
+// carriesID reports whether a response's head carries the ID of any request.
+func (f *WireFormat) carriesID(h http.Header) bool { return len(f.echoedIDs(h)) > 0 }
+
 // appendHead appends the head of r to b. It does not check the caller's values, because net/http's
 // server has already rejected line ends and other control characters in them.
 func (f *WireFormat) appendHead(b []byte, r *Request, id attemptID, remaining time.Duration) []byte {
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -81,7 +81,9 @@
 // get returns an idle connection that is still usable, or a new one. With r.NewConnection it always
 // returns a new one.
 func (p *pool) get(ctx context.Context, r *Request) (*conn, error) {
-	forceNew, deadline := r.NewConnection, r.Deadline
+	deadline := r.Deadline
+	// The response to a request without an ID is known only by its connection.
+	forceNew := r.NewConnection || p.client.wireFormat.RequestIDHeader != "" && p.client.wireFormat.requestID(r) == ""
 	if forceNew {
 		p.closeIdle(1) // frees a place if the limit is reached
 	}
@@ -100,13 +102,17 @@
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
 		p.mu.Unlock()
-		if c.withinIdleLimits(r.MaxIdle) && c.isUsable() {
+		live := c.withinIdleLimits(r.MaxIdle) && c.isUsable()
+		if live && c.identifies(r) {
 			p.client.Stats.Reused.Add(1)
 			c.reused = true
 			return c, nil
 		}
 		p.client.Stats.Stale.Add(1)
 		c.closeAndRelease()
+		if live {
+			break
+		}
 	}
 	if !p.client.makeRoom() || !p.reserve() {
 		p.client.Stats.Limited.Add(1)
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -232,6 +232,8 @@
 	if c.send.ThrottleBody {
 		q.Throttle = throttle
 	}
+	// A late copy of an earlier response must not become the stored outcome, or end an upload early.
+	q.NeedsIdentity = c.hasClaim || !c.bodyBuffered
 	switch {
 	case c.bodyBuffered:
 		q.Body = c.body
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -158,6 +158,14 @@
 	}
 	defer x.Close()
 	if wasShed(x) {
+		if !x.Identified() {
+			x.Close()
+			c.mayHaveRun, c.reusedConn = true, true
+			g.Log.WithField("step", "forward").WithField("peer", c.send.Endpoint).
+				Info("a refusal without the request's ID on a reused connection may be that of an earlier request")
+			g.endAttempt(c, router.Broken, x.Elapsed)
+			return false
+		}
 		x.Discard(maxPrereadBody)
 		x.Close()
 		g.endAttempt(c, router.Shed, x.Elapsed)
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -125,11 +125,17 @@
 	}
 	defer exchange.Close()
 	info := c.proxy.opts.WireFormat.ParseResponse(exchange.Status, exchange.Header)
-	if info.NotExecuted {
+	if info.NotExecuted && isRefusal(exchange) {
 		c.recordAttempt(choice, balancer.Shed, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
 		return attemptResult{retryable: true, mayHaveArrived: true, refusal: &refusal{status: http.StatusServiceUnavailable,
 			reason: "the upstream did not execute the request", retryAfter: max(choice.ExpectedWait, minRetryAfter)}}
 	}
+	if info.NotExecuted {
+		fields := c.logFields("doubt")
+		fields["upstream"], fields["status"], fields["identified"] = upstream.ID, exchange.Status, exchange.Identified()
+		c.proxy.opts.Log.Event(logrus.InfoLevel, "doubt", fields, "refusal not believed")
+		return c.handleFailure(choice, startedAt, errors.Errorf("a response of status %d leaves open whether the request ran", exchange.Status))
+	}
 	if exchange.Status/100 == 2 && (!info.Authentic || exchange.Header.Get("Content-Encoding") != "") {
 		return c.handleFailure(choice, startedAt, errors.New("the response lacks the upstream's stamp or has a Content-Encoding"))
 	}
@@ -139,6 +145,11 @@
 	return c.deliver(choice, startedAt, exchange, info)
 }
 
+// isRefusal reports whether a response that says that the request did not run is to be believed.
+func isRefusal(exchange *forward.Exchange) bool {
+	return exchange.Identified() && (forward.PromisesNotExecuted(exchange.Status) || exchange.Status == http.StatusBadRequest)
+}
+
 // handleFailure records an attempt without a response and decides whether the request can be retried or which refusal
 // the caller gets.
 func (c *call) handleFailure(choice balancer.Choice, startedAt time.Time, err error) attemptResult {
--- /dev/null
+++ b/entry/proxy/refusal_test.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serveRaw takes a connection over from the server and calls answer for each request on it.
+func serveRaw(t *testing.T, answer func(c net.Conn, r *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, buffered, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		for in := bufio.NewReader(buffered); err == nil; r, err = http.ReadRequest(in) {
+			answer(c, r)
+		}
+	}
+}
+
+// promisesNotRun reports whether a response of the given status says that the request did not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// lateRefusal lets each upstream refuse request a and run request b, whose answer it writes after or around the copy of
+// a refusal. It returns the response to b and the number of b's runs.
+func lateRefusal(t *testing.T, refusal string, write func(c net.Conn, own string)) (response *http.Response, body string, runs int) {
+	t.Helper()
+	var mu sync.Mutex
+	upstream := serveRaw(t, func(c net.Conn, r *http.Request) {
+		if r.URL.Path == "/once/a" {
+			_, _ = io.WriteString(c, refusal)
+			return
+		}
+		mu.Lock()
+		runs++
+		mu.Unlock()
+		write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 3\r\n\r\nown", r.Header.Get("X-Id")))
+	})
+	fx := newFixture(t, 0, upstream, upstream)
+	parse := fx.opts.WireFormat.ParseResponse
+	fx.opts.WireFormat.ParseResponse = func(status int, h http.Header) ResponseInfo {
+		info := parse(status, h)
+		info.Load = 0 // the upstreams have free slots, also after a refusal
+		return info
+	}
+	_, _ = fx.post("/once/a", "", "key")
+	response, body = fx.post("/once/b", "", "key")
+	mu.Lock()
+	defer mu.Unlock()
+	return response, body, runs
+}
+
+// refusalTexts are refusals with and without the request's ID.
+func refusalTexts() map[string]string {
+	texts := map[string]string{}
+	for _, status := range []int{400, 408, 421, 429, 503} {
+		for name, id := range map[string]string{"with its ID": "X-Id: id-/once/a\r\n", "without an ID": ""} {
+			texts[fmt.Sprint(status, " ", name)] = fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+		}
+	}
+	return texts
+}
+
+// Guards against the late copy of a refusal that is taken for the refusal of a request that ran: its caller was told that
+// it had not run, or it was sent to a second upstream.
+func TestLateRefusalIsNotBelieved(t *testing.T) {
+	for name, refusal := range refusalTexts() {
+		for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " after ", delay), func(t *testing.T) {
+				is := is.New(t)
+				response, body, runs := lateRefusal(t, refusal, func(c net.Conn, own string) {
+					_, _ = io.WriteString(c, refusal)
+					time.Sleep(delay)
+					_, _ = io.WriteString(c, own)
+				})
+				is.Equal(runs, 1)
+				is.True(!promisesNotRun(response.StatusCode) && response.StatusCode != http.StatusBadRequest)
+				is.True(response.StatusCode != http.StatusOK || body == "own")
+			})
+		}
+	}
+}
+
+// Guards against the copy of a refusal within the answer of a request that ran, at each byte.
+func TestRefusalWithinAnswerIsNotBelieved(t *testing.T) {
+	for _, status := range []int{421, 503} {
+		for _, id := range []string{"", "X-Id: id-/once/a\r\n"} {
+			refusal := fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+			for _, ownStatus := range []string{"200 OK", "500 Failed"} {
+				for at, size := 0, 1; at < size; at++ {
+					response, _, runs := lateRefusal(t, refusal, func(c net.Conn, own string) {
+						own = "HTTP/1.1 " + ownStatus + own[len("HTTP/1.1 200 OK"):]
+						size = len(own)
+						_, _ = io.WriteString(c, own[:at]+refusal+own[at:])
+					})
+					if runs != 1 || promisesNotRun(response.StatusCode) {
+						t.Fatalf("copy %q at byte %d of the answer %s: %d runs, status %d", refusal, at, ownStatus, runs, response.StatusCode)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a refusal that is believed although the response succeeded.
+func TestSuccessIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	upstream := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.Header().Set("X-Stamp", "s")
+	}
+	fx := newFixture(t, 0, upstream, upstream)
+	response, _ := fx.post("/once/", "", "key")
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(fx.upstreamRequests.Load(), int32(1))
+}
--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -35,6 +35,9 @@
 	case "/health":
 		return
 	}
+	if id := r.Header.Get(requestIDHeader); id != "" {
+		w.Header().Set(requestIDHeader, id)
+	}
 	ctx, cancel := e.requestContext(r)
 	defer cancel()
 	delay := e.latencyTo(r.RemoteAddr)
