entry/proxy: a status that promises 'not run' needs the upstream's word

Callers got an upstream's 408, 429 or 503 as it was, although the upstream had not said that the request did not run; these statuses promise callers that it never will. TestPromiseOfUpstreamThatRanTheRequest failed (408 in place of 502), and TestRefusalWithinAnswerIsNotBelieved at byte 72 of an own 503 (status 503 after a run). Such an answer now counts as one that leaves open whether the request ran: 502, or another upstream for idempotent requests. Both tests pass.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -130,7 +130,7 @@
 		return attemptResult{retryable: true, mayHaveArrived: true, refusal: &refusal{status: http.StatusServiceUnavailable,
 			reason: "the upstream did not execute the request", retryAfter: max(choice.ExpectedWait, minRetryAfter)}}
 	}
-	if info.NotExecuted {
+	if info.NotExecuted || forward.PromisesNotExecuted(exchange.Status) {
 		fields := c.logFields("doubt")
 		fields["upstream"], fields["status"], fields["identified"] = upstream.ID, exchange.Status, exchange.Identified()
 		c.proxy.opts.Log.Event(logrus.InfoLevel, "doubt", fields, "refusal not believed")
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -102,7 +102,7 @@
 	for _, status := range []int{421, 503} {
 		for _, id := range []string{"", "X-Id: id-/once/a\r\n"} {
 			refusal := fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
-			for _, ownStatus := range []string{"200 OK", "500 Failed"} {
+			for _, ownStatus := range []string{"200 OK", "500 Failed", "503 Failed"} {
 				for at, size := 0, 1; at < size; at++ {
 					response, _, runs := lateRefusal(t, refusal, func(c net.Conn, own string) {
 						own = "HTTP/1.1 " + ownStatus + own[len("HTTP/1.1 200 OK"):]
@@ -118,6 +118,21 @@
 	}
 }
 
+// Guards against passing on a status that promises that the request did not run, where the upstream did not say so.
+func TestPromiseOfUpstreamThatRanTheRequest(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		for _, path := range []string{"/once/", "/safe/"} {
+			is := is.New(t)
+			fx := newFixture(t, 0, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Stamp", "s")
+				w.WriteHeader(status)
+			})
+			response, _ := fx.post(path, "", "key")
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+		}
+	}
+}
+
 // Guards against a refusal that is believed although the response succeeded.
 func TestSuccessIsNoRefusal(t *testing.T) {
 	is := is.New(t)
