entry/proxy, entry/shutdown: requests at the end of a planned stop get a final answer

Nothing ended requests before the server was closed, and nothing asked whether a new one could still be answered.

What is refused gets 503 at once, not run, with a short Retry-After and Connection: close. At that moment all others get a final answer: 504 if an upstream may have run them, 503 if none can have, also while a body is arriving and while an allowance is awaited. A response whose head was sent goes on to the end of the grace period. Connection: close is decided when the response is written, so that requests from before the signal end their connections too.

TestRequestsAtTheEndOfAPlannedStopAreAnswered failed before: a late request, a running one, one with half of its body and an upload all saw EOF after 3.00 s, and the late one was passed on.

--- a/entry/gateway/conn_test.go
+++ b/entry/gateway/conn_test.go
@@ -266,16 +266,3 @@
 
 // idleCount returns how many open connections have no request.
 func (l *Listener) idleCount() int { return l.connsIn(connIdle) }
-
-// connsIn returns how many open connections are in a state.
-func (l *Listener) connsIn(state uint32) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	count := 0
-	for c := range l.conns {
-		if c.state.Load() == state {
-			count++
-		}
-	}
-	return count
-}
--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -63,22 +63,39 @@
 }
 
 // Shutdown closes the listener after EndAccepting, and its server once no connection is open. Meanwhile it closes
-// connections without a request. It returns the error of ctx if connections are still open at its end. The server's own
-// Shutdown would drop a request whose head it is still reading.
+// connections without a request. It returns the error of ctx if requests are still in progress at its end. The server's
+// own Shutdown would drop a request whose head it is still reading.
 func (l *Listener) Shutdown(ctx context.Context, server *http.Server) error {
 	if err := l.Close(); err != nil {
 		return errors.Wrap(err, "close the listener")
 	}
 	for l.openCount() > 0 {
 		l.CloseIdle(l.now(), 1)
-		if err := clock.Sleep(ctx, l.clock(), shutdownSweepInterval); err != nil {
+		err := clock.Sleep(ctx, l.clock(), shutdownSweepInterval)
+		if err != nil && l.connsIn(connActive) > 0 {
 			return errors.WithStack(err)
 		}
+		if err != nil {
+			break // the rest only lingers
+		}
 	}
 	_ = server.Close() // the listener is already closed, which it may report
 	return nil
 }
 
+// connsIn returns how many open connections are in a state.
+func (l *Listener) connsIn(state uint32) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for c := range l.conns {
+		if c.state.Load() == state {
+			count++
+		}
+	}
+	return count
+}
+
 func (l *Listener) openCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -40,6 +40,9 @@
 		if gateway.ClientDisconnected(c.r.Context()) {
 			c.abandon()
 		}
+		if c.endedByStop() {
+			return c.finish(last, c.refuseAtEnd())
+		}
 		if refused := c.renewRate(); refused != nil {
 			return c.finish(last, refused)
 		}
@@ -119,7 +122,9 @@
 		request.Body, request.Stream, request.Length, request.Interrupt = nil, c.upload.newReader(), int64(c.bodySize), c.upload.interrupt
 		defer c.upload.restoreDeadline()
 	}
-	exchange, err := c.proxy.opts.Forward.Do(c.r.Context(), request)
+	ctx, release := c.endWithStop()
+	defer release()
+	exchange, err := c.proxy.opts.Forward.Do(ctx, request)
 	if err != nil {
 		return c.handleFailure(choice, startedAt, err)
 	}
@@ -146,6 +151,12 @@
 	var failure *forward.Failure
 	if errors.As(err, &failure) {
 		switch {
+		case failure.Reason == forward.Cancelled && c.endedByStop():
+			c.recordAttempt(choice, balancer.Abandoned, elapsed, -1)
+			if !failure.Sent || failure.Incomplete {
+				return attemptResult{refusal: c.refuseAtEnd()}
+			}
+			return attemptResult{mayHaveArrived: true, mayHaveRun: true, refusal: &refusal{status: http.StatusGatewayTimeout, reason: "the upstream did not answer before the end of this VM's shutdown"}}
 		case failure.Reason == forward.Cancelled:
 			c.recordAttempt(choice, balancer.Abandoned, elapsed, -1)
 			panic(http.ErrAbortHandler)
@@ -198,6 +209,7 @@
 		c.writeResponse(exchange.Status, exchange.Header, body)
 		return attemptResult{answered: true, mayHaveArrived: true, mayHaveRun: true}
 	}
+	c.outliveStop() // its head cannot be taken back
 	c.writeHeader(exchange.Status, exchange.Header, exchange.Length)
 	_, err = c.w.Write(body)
 	if err == nil {
@@ -218,6 +230,9 @@
 			header[name] = values
 		}
 	}
+	if c.proxy.stop.begun() {
+		header.Set("Connection", "close")
+	}
 	if length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -72,11 +71,11 @@
 
 // Proxy serves callers' requests on one entry VM.
 type Proxy struct {
-	opts     Options
-	control  Control           // set before requests are served
-	callers  *gateway.Listener // set before requests are served; nil in tests without a listener
-	stopping atomic.Bool
-	metrics  requestMetrics
+	opts    Options
+	control Control           // set before requests are served
+	callers *gateway.Listener // set before requests are served; nil in tests without a listener
+	stop    stop
+	metrics requestMetrics
 
 	mu                      sync.Mutex
 	table                   *catalog.Table
@@ -106,6 +105,7 @@
 	p := &Proxy{opts: o, metrics: newRequestMetrics(o.Metrics), splitCredits: map[string][]float64{}, drainEndedAt: map[ident.Domain]time.Time{},
 		drainEndIndex: map[ident.Domain]ident.Index{}}
 	p.demand, p.reportAnswered = map[ident.Region]*demand{}, make(chan struct{})
+	p.stop.ended, p.stop.endRunning = context.WithCancel(context.Background())
 	p.rateLimiter.RequireFullReport()
 	p.startedAt = o.LeaseClock.Now()
 	p.balancer = balancer.Balancer{Domain: o.VM.Domain, Regions: o.Regions, Costs: o.Costs}
@@ -170,11 +170,11 @@
 func (p *Proxy) Ready() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.table != nil && !p.stopping.Load()
+	return p.table != nil && !p.stop.begun()
 }
 
 // Leave begins a graceful shutdown: Ready returns false and responses ask callers to close their connection.
-func (p *Proxy) Leave() { p.stopping.Store(true) }
+func (p *Proxy) Leave() { p.stop.begin(p.opts.Clock.Now()) }
 
 // Run closes stale connections to upstreams and callers and logs the number of dropped log lines every second, until ctx
 // ends.
--- a/entry/proxy/ratelimit.go
+++ b/entry/proxy/ratelimit.go
@@ -71,6 +71,8 @@
 		select {
 		case <-reportAnswered:
 		case <-p.opts.LeaseClock.After(remaining):
+		case <-p.stop.ended.Done():
+			return c.refuseAtEnd()
 		case <-c.r.Context().Done():
 			c.abandon()
 		}
@@ -144,7 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	vm := p.opts.VM
-	vm.Up = !p.stopping.Load()
+	vm.Up = !p.stop.begun()
 	p.reportSequence++
 	report := protocol.Report{VM: vm, Sequence: p.reportSequence, AppliedSequence: p.appliedSequence, AppliedTerm: p.appliedTerm, RecentlyStarted: now.Sub(p.startedAt) < 2*p.opts.Bounds.RateWindow}
 	report.RateUsage, report.Full = p.rateLimiter.Report(now)
--- a/entry/proxy/run.go
+++ b/entry/proxy/run.go
@@ -10,6 +10,7 @@
 
 	"cuminfall.example/entry/follower"
 	"cuminfall.example/entry/gateway"
+	"cuminfall.example/entry/shutdown"
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/process"
@@ -106,6 +107,11 @@
 	}
 	shutdownCtx, cancel := context.WithTimeout(ctx, p.opts.GracePeriod-p.opts.Clock.Now().Sub(startedAt))
 	defer cancel()
+	go func() {
+		if clock.Sleep(shutdownCtx, p.opts.Clock, shutdown.FinalAnswers(p.opts.GracePeriod)-p.opts.Clock.Now().Sub(startedAt)) == nil {
+			p.stop.endRunning()
+		}
+	}()
 	if err := listener.EndAccepting(shutdownCtx); err != nil {
 		p.opts.Log.WithField("event", "leave").WithError(err).Warn("callers that connect while the listener is closed may be reset")
 	}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"maps"
 	"net/http"
@@ -54,8 +55,9 @@
 	upload         *upload // replaces body for bodies of minStreamedBody bytes or more
 	bodySize       ident.Bytes
 	service        ident.Service
-	rateTakenAt    time.Time // when it was last counted against its workspace's allowance
-	mayHaveRun     bool      // an upstream ran it or may have run it since rateTakenAt
+	rateTakenAt    time.Time   // when it was last counted against its workspace's allowance
+	mayHaveRun     bool        // an upstream ran it or may have run it since rateTakenAt
+	outliveStop    func() bool // keeps the final answers of a graceful shutdown from ending the attempt
 }
 
 // refusal is an error response that the proxy itself sends in place of an upstream's response.
@@ -72,9 +74,6 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{proxy: p, w: w, r: r, startedAt: p.opts.Clock.Now()}
 	p.metrics.requests.Inc(1)
-	if p.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	refused := c.admit()
 	if refused == nil {
 		refused = c.tryUpstreams()
@@ -115,6 +114,7 @@
 		// The caller's timeout started before the request was delayed on this VM's link.
 		c.deadline = c.startedAt.Add(t - min(linkDelay, time.Duration(maxLinkDelayShare*float64(t))))
 	}
+	c.limitToStop()
 	// The body is read first: a request counts against the rate from the time at which it can be sent.
 	if refused := c.readBody(table.Catalog.Limits); refused != nil {
 		return refused
@@ -165,6 +165,7 @@
 // readBody reads a short body completely, so that a slow caller does not occupy an upstream's slot, and prepares a long
 // one for streaming.
 func (c *call) readBody(limits *catalog.Limits) *refusal {
+	p := c.proxy
 	if c.r.Body == nil || c.r.ContentLength == 0 {
 		return nil
 	}
@@ -182,7 +183,9 @@
 		return nil
 	}
 	_ = controller.SetReadDeadline(c.deadline) // fails only if the connection is already closed
+	readOn := context.AfterFunc(p.stop.ended, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxSize))
+	readOn()
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -194,6 +197,8 @@
 		return nil
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "request body is larger than the limit"}
+	case errors.Is(err, os.ErrDeadlineExceeded) && p.stop.ended.Err() != nil:
+		return c.refuseAtEnd()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &refusal{status: http.StatusRequestTimeout, reason: "request body was not received before the deadline"}
 	}
@@ -225,7 +230,7 @@
 		retryAfter := min(max(refused.retryAfter, minRetryAfter), maxRetryAfter)
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if p.callers != nil && p.callers.Crowded() {
+	if p.stop.begun() || p.callers != nil && p.callers.Crowded() {
 		c.w.Header().Set("Connection", "close")
 	}
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
@@ -290,6 +295,9 @@
 	if decision := admission.Decide(request); !decision.Admit {
 		return choice, &refusal{status: http.StatusServiceUnavailable, reason: decision.Reason, retryAfter: decision.RetryAfter, choice: &choice}
 	}
+	if refused := c.refuseLate(now, choice.ExpectedLatency); refused != nil {
+		return choice, refused
+	}
 	p.balancer.RequestSent(choice.Upstream.ID)
 	p.sends.Add(p.opts.LeaseClock.Now(), 1)
 	if choice.OutOfRegion {
--- /dev/null
+++ b/entry/proxy/stop.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"cuminfall.example/entry/gateway"
+	"cuminfall.example/entry/shutdown"
+)
+
+// stop is the state of a Proxy's graceful shutdown.
+type stop struct {
+	beganAt    atomic.Pointer[time.Time] // nil before the shutdown
+	ended      context.Context           // done when running requests get their final answer
+	endRunning context.CancelFunc
+}
+
+func (s *stop) begin(now time.Time) { s.beganAt.CompareAndSwap(nil, &now) }
+
+func (s *stop) begun() bool { return s.beganAt.Load() != nil }
+
+// limitToStop moves the request's deadline before the final answers of a graceful shutdown that has begun.
+func (c *call) limitToStop() {
+	p := c.proxy
+	if beganAt := p.stop.beganAt.Load(); beganAt != nil {
+		if end := beganAt.Add(shutdown.FinalAnswers(p.opts.GracePeriod)); end.Before(c.deadline) {
+			c.deadline = end
+		}
+	}
+}
+
+// refuseLate refuses a request that a graceful shutdown may not let end at its upstream.
+func (c *call) refuseLate(now time.Time, expectedLatency time.Duration) *refusal {
+	p := c.proxy
+	beganAt := p.stop.beganAt.Load()
+	if beganAt == nil {
+		return nil
+	}
+	decision := shutdown.Decide(p.opts.GracePeriod, shutdown.Request{Elapsed: now.Sub(*beganAt), ExpectedLatency: expectedLatency, Streamed: c.upload != nil})
+	if decision.Accept {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: decision.Reason, retryAfter: minRetryAfter}
+}
+
+// refuseAtEnd returns the final answer to a request that no upstream can have run.
+func (c *call) refuseAtEnd() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "this VM is shutting down", retryAfter: minRetryAfter}
+}
+
+// endWithStop returns a context for the request's attempts that is done at the final answers too. Release must be called.
+func (c *call) endWithStop() (ctx context.Context, release func()) {
+	ctx, cancel := context.WithCancel(c.r.Context())
+	c.outliveStop = context.AfterFunc(c.proxy.stop.ended, cancel)
+	return ctx, func() {
+		c.outliveStop()
+		cancel()
+	}
+}
+
+// endedByStop reports whether an attempt was ended for the final answer, and not because its caller disconnected. The
+// server ends the request's context in both cases if it was reading a body.
+func (c *call) endedByStop() bool {
+	return c.proxy.stop.ended.Err() != nil && !gateway.ClientDisconnected(c.r.Context())
+}
--- a/entry/proxy/stop_test.go
+++ b/entry/proxy/stop_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -30,9 +31,12 @@
 func newStoppable(t *testing.T, timeout, drain, grace time.Duration, handler http.HandlerFunc) *stoppable {
 	t.Helper()
 	s := &stoppable{fixture: newFixture(t, 0, handler), stopped: make(chan error, 1)}
-	route := s.catalog.Routes["once"]
+	changed := *s.catalog
+	changed.Routes = maps.Clone(s.catalog.Routes)
+	route := changed.Routes["once"]
 	route.Timeout = timeout
-	s.catalog.Routes["once"] = route
+	changed.Routes["once"] = route
+	s.registry.Catalog = &changed
 	s.Update(s.registry)
 	s.opts.DrainPeriod, s.opts.GracePeriod = drain, grace
 	s.addresses = Addresses{Callers: freeAddress(t), Ready: freeAddress(t)}
@@ -135,3 +139,79 @@
 	is.True(answered.Load() > 0)
 	is.Equal(lost.Load(), int32(0))
 }
+
+// Guards against requests that a planned stop cuts without an answer at the end of the grace period, and against late
+// requests that are passed on although the end of the grace period may cut them.
+func TestRequestsAtTheEndOfAPlannedStopAreAnswered(t *testing.T) {
+	is := is.New(t)
+	const usualLatency, grace = 500 * time.Millisecond, 3 * time.Second
+	var slow atomic.Bool
+	s := newStoppable(t, 10*time.Second, 300*time.Millisecond, grace, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		latency := usualLatency
+		if slow.Load() {
+			latency = 2 * grace
+		}
+		select {
+		case <-time.After(latency):
+		case <-r.Context().Done():
+		}
+		answerOK(w, r)
+	})
+	var warmUp sync.WaitGroup
+	for range 4 {
+		c := s.dial()
+		warmUp.Go(func() {
+			for range 3 {
+				is.NoErr(c.send())
+				_, err := c.receive()
+				is.NoErr(err)
+			}
+		})
+	}
+	warmUp.Wait()
+	slow.Store(true)
+	before := s.upstreamRequests.Load()
+	running, late, body, upload := s.dial(), s.dial(), s.dial(), s.dial()
+	const head = "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: id\r\nX-Left: 20000\r\nAuthorization: key\r\n"
+	is.NoErr(running.send())
+	_, err := fmt.Fprint(body, head+"Content-Length: 2\r\n\r\na")
+	is.NoErr(err)
+	_, err = fmt.Fprint(upload, head+"Content-Length: 65536\r\n\r\nab")
+	is.NoErr(err)
+	_, err = fmt.Fprint(late, head)
+	is.NoErr(err)
+	for end := time.Now().Add(5 * time.Second); s.upstreamRequests.Load() < before+2; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // the running request and the upload must reach the upstream
+	}
+	stoppedAt := time.Now()
+	s.stop()
+	time.Sleep(grace * 6 / 10)
+	_, err = fmt.Fprint(late, "Content-Length: 2\r\n\r\nab")
+	is.NoErr(err)
+	for _, c := range []struct {
+		name   string
+		caller *stopCaller
+		status int
+	}{
+		{"late", late, http.StatusServiceUnavailable},
+		{"running", running, http.StatusGatewayTimeout},
+		{"body", body, http.StatusServiceUnavailable},
+		{"upload", upload, http.StatusServiceUnavailable},
+	} {
+		response, err := c.caller.receive()
+		if err != nil {
+			t.Errorf("%s: %v after %s", c.name, err, time.Since(stoppedAt))
+			continue
+		}
+		t.Logf("%s: %d after %s", c.name, response.StatusCode, time.Since(stoppedAt))
+		is.Equal(response.StatusCode, c.status)
+		is.True(response.Close)
+		is.Equal(response.Header.Get("Retry-After") != "", c.status == http.StatusServiceUnavailable)
+	}
+	is.Equal(s.upstreamRequests.Load(), before+2)
+	is.NoErr(<-s.stopped)
+	is.True(time.Since(stoppedAt) < grace+grace/25) // connections may linger until the end
+}
