entry/proxy: an upload whose upstream fails may have run

Callers were told 408 ('not run') for uploads that an upstream was reading, and an upload that may not be repeated was sent to a second upstream when the first had closed in the middle of it, also after a part of its answer. TestUploadToFailedUpstreamMayHaveRun failed (both upstreams got it, and the caller an EOF), TestUploadThatUpstreamReadsSlowlyMayHaveRun failed (408 in place of 504). Now only a body that the caller sends too slowly counts as not run, while no byte of an answer has come; the rest is open and ends as 502 or 504.

--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -44,6 +44,7 @@
 	written       atomic.Int64
 	headRemaining int  // bytes of the head that may still be read
 	inBody        bool // the response's body is being read
+	answering     bool // bytes were received
 	// Number of sent bytes that the upstream's host had acknowledged at the last check while the
 	// response's head was awaited, or -1 if none were unacknowledged.
 	lastAcked int64
@@ -120,7 +121,7 @@
 
 func (c *conn) startExchange(x *Exchange, deadline time.Time) {
 	c.exchange, c.deadline, c.headRemaining, c.inBody = x, deadline, maxHeadBytes, false
-	c.lastAcked = -1
+	c.lastAcked, c.answering = -1, false
 	c.written.Store(0)
 }
 
@@ -148,6 +149,7 @@
 			return 0, err
 		}
 		n, err := c.tcp.Read(b)
+		c.answering = c.answering || n > 0
 		if !c.inBody {
 			c.headRemaining -= n
 		}
--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -71,7 +71,7 @@
 func (x *Exchange) failWith(err error) *Failure {
 	x.terminate(Broken)
 	f := x.failureFor(err)
-	f.Incomplete = !x.finalWriteStarted.Load()
+	f.Incomplete = !x.finalWriteStarted.Load() && !x.conn.answering
 	return f
 }
 
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -139,8 +139,8 @@
 	Reason Reason
 	Sent   bool // at least one byte was written to the connection
 	Reused bool // the connection had served an earlier request
-	// Incomplete reports that the end of the request was never written, so that no upstream can
-	// have run it.
+	// Incomplete reports that the end of the request was never written and that the upstream has not
+	// begun to answer.
 	Incomplete bool
 	Fault      *fault.Error
 }
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -163,7 +163,7 @@
 		case failure.Reason == forward.UploadFailed && !c.upload.timedOut():
 			c.recordAttempt(choice, balancer.Abandoned, elapsed, -1)
 			return attemptResult{refusal: &refusal{status: http.StatusBadRequest, reason: "request body ended early"}}
-		case failure.Reason == forward.UploadFailed, failure.Reason == forward.DeadlineExceeded && failure.Incomplete && c.upload != nil:
+		case failure.Reason == forward.UploadFailed, failure.Reason == forward.DeadlineExceeded && failure.Incomplete && c.upload != nil && c.upload.timedOut():
 			c.recordAttempt(choice, balancer.Abandoned, elapsed, -1)
 			return attemptResult{refusal: &refusal{status: http.StatusRequestTimeout, reason: "request body was not received before the deadline"}}
 		case failure.Reason == forward.DeadlineExceeded && failure.Sent:
@@ -176,9 +176,6 @@
 	}
 	c.proxy.metrics.broken.Inc(1)
 	c.recordAttempt(choice, balancer.Broken, elapsed, -1)
-	if failure != nil && failure.Incomplete && c.upload != nil {
-		return attemptResult{retryable: true, mayHaveArrived: true, refusal: &refusal{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: minRetryAfter}}
-	}
 	return attemptResult{retryable: c.route.Idempotent, mayHaveArrived: true, mayHaveRun: true, refusal: &refusal{status: http.StatusBadGateway, reason: err.Error()}}
 }
 
--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -110,3 +112,59 @@
 	is.True(<-readResult != nil)
 	_ = writer.Close()
 }
+
+// Guards against an upload that runs at a second upstream, or is refused as not run, after an upstream that need not wait
+// for the end of the body has failed.
+func TestUploadToFailedUpstreamMayHaveRun(t *testing.T) {
+	for name, answer := range map[string]string{"no answer": "", "cut head": "HTTP/1.1 200 OK\r\nX-Id: r\r\n", "cut body": "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Stamp: s\r\nContent-Length: 9\r\n\r\nx"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			run := func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadFull(r.Body, make([]byte, halfBody))
+				c, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(c, answer)
+				_ = c.Close()
+			}
+			fx := newFixture(t, 0, run, run)
+			reader, writer := io.Pipe()
+			go func() {
+				_, _ = writer.Write(make([]byte, halfBody))
+				time.Sleep(100 * time.Millisecond)
+				_, _ = writer.Write(make([]byte, halfBody))
+				_ = writer.Close()
+			}()
+			response, _, err := fx.postBody("/once/", reader, 2*halfBody)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(fx.upstreamRequests.Load(), int32(1))
+		})
+	}
+}
+
+// Guards against an upload that was received whole being refused as not received, and so as not run, when an upstream
+// reads or answers too slowly.
+func TestUploadThatUpstreamReadsSlowlyMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	for _, early := range []string{"", "HTTP/1.1 200 OK\r\n"} {
+		run := func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+			_, _ = io.WriteString(c, early)
+			time.Sleep(700 * time.Millisecond) // the route's timeout is 400 ms
+			_ = c.Close()
+		}
+		fx := newFixture(t, 0, run, run)
+		response, _, err := fx.postBody("/once/", bytes.NewReader(make([]byte, 16<<20)), 16<<20)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+		is.Equal(fx.upstreamRequests.Load(), int32(1))
+	}
+}
