entry/proxy: failing test: an upload whose early answer is cut runs at a second upstream and is called not run

An upstream may answer before it has read a long body. If its answer is cut in the head or the body while part of the upload is unsent (forward.Failure.Incomplete), entry/proxy/attempt.go:handleFailure takes the request as one that did not run: retryable also on routes that are not idempotent, and 503 to the caller at the end.

Seen: 2 runs and status 503 in both cases (expected: 1 run, 502).

--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -110,3 +112,40 @@
 	is.True(<-readResult != nil)
 	_ = writer.Close()
 }
+
+// Guards against a request that is repeated or called not run although its upstream had begun its answer before the whole body arrived.
+func TestCutEarlyAnswerToUploadIsNotRepeated(t *testing.T) {
+	for name, answer := range map[string]string{
+		"cut in the head": "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-St",
+		"cut in the body": "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Stamp: s\r\nContent-Length: 9\r\n\r\npart",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int32
+			cut := func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				c, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.WriteString(c, answer)
+				_ = c.(*net.TCPConn).CloseWrite()
+				time.Sleep(100 * time.Millisecond) // the rest of the body waits
+				_ = c.Close()
+			}
+			fx := newFixture(t, 0, cut, cut)
+			const size = 16 << 20
+			response, body, err := fx.postBody("/once/", io.LimitReader(zeros{}, size), size)
+			is.NoErr(err)
+			t.Logf("status %d, %q, %d runs", response.StatusCode, body, runs.Load())
+			is.Equal(runs.Load(), int32(1))
+			is.True(!promisesNotRun(response.StatusCode))
+		})
+	}
+}
+
+// zeros is a body without end.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
