entry/proxy: failing test: an upload that its first upstream refuses while the body arrives ends without an answer

The caller's connection ends with EOF. Closing the first attempt's exchange interrupts the pending read of the body with a read deadline (upload.interrupt); net/http's connReader then cancels the request's context as for a disconnected caller, the second attempt begins with a cancelled context (call.endWithStop derives from it), and handleFailure panics with http.ErrAbortHandler. TestRefusedUploadIsResentWhole does not see it, because its upstream reads the body before it refuses.

--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -149,3 +149,37 @@
 type zeros struct{}
 
 func (zeros) Read(b []byte) (int, error) { return len(b), nil }
+
+// Guards against an upload that ends without an answer because its first upstream refused it while the body was still arriving.
+func TestUploadThatIsRefusedEarlyIsAnswered(t *testing.T) {
+	is := is.New(t)
+	var refused atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if refused.Add(1) == 1 {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Id: r\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+			return
+		}
+		received, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Stamp", "1")
+		_, _ = io.WriteString(w, strings.Repeat("x", len(received)/1024))
+	}
+	fx := newFixture(t, 0, handler, handler)
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write(make([]byte, halfBody))
+		time.Sleep(100 * time.Millisecond)
+		_, _ = writer.Write(make([]byte, halfBody))
+		_ = writer.Close()
+	}()
+	response, body, err := fx.postBody("/once/", reader, 2*halfBody)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(len(body), 2*halfBody/1024)
+}
