entry/proxy: a caller whose short body stalls gets its refusal at the deadline

Callers that sent part of a short body got no answer at their deadline, and none later: the read deadline was taken back after the failed read, and net/http reads the rest of the body before it sends a response. The goroutine and its connection stayed as long as the caller's host did, and held a graceful shutdown to the end of its grace period. The deadline now stays after a failed read, so that the server does not wait. TestStalledShortBodyIsRefusedAtTheDeadline failed before (no byte of a response after 3 s at a deadline of 0.3 s) and passes three of three runs.

--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -186,7 +186,9 @@
 	readOn := context.AfterFunc(p.stop.ended, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxSize))
 	readOn()
-	_ = controller.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{}) // else the server would wait for the rest of the body before the refusal
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -183,3 +184,20 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(len(body), 2*halfBody/1024)
 }
+
+// Guards against a caller whose short body never arrives waiting for the refusal beyond its deadline.
+func TestStalledShortBodyIsRefusedAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 0, answerOK)
+	c, err := net.Dial("tcp", startListener(t, fx))
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nX-Left: 300\r\nAuthorization: key\r\nContent-Length: 10\r\n\r\nab")
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(3 * time.Second)))
+	start := time.Now()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	t.Logf("%v after %s", err, time.Since(start))
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusRequestTimeout)
+}
