entry/proxy: an upload that is refused while its body arrives is answered

Callers saw their connection end without an answer. The end of the first attempt interrupts the read of the body with a read deadline, for which net/http cancels the request's context as if the caller had disconnected; the next attempt began with a cancelled context and the handler gave up. After an interrupted read, attempts and waits use a context that the server does not cancel, as README's door does.

--- a/entry/proxy/stop.go
+++ b/entry/proxy/stop.go
@@ -50,9 +50,18 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "this VM is shutting down", retryAfter: minRetryAfter}
 }
 
+// context returns a context that is done when the caller disconnects. The server also ends the request's own context when a
+// read of its body is interrupted, and does not notice a disconnect after that.
+func (c *call) context() context.Context {
+	if c.upload != nil && c.upload.interrupted {
+		return context.WithoutCancel(c.r.Context())
+	}
+	return c.r.Context()
+}
+
 // endWithStop returns a context for the request's attempts that is done at the final answers too. Release must be called.
 func (c *call) endWithStop() (ctx context.Context, release func()) {
-	ctx, cancel := context.WithCancel(c.r.Context())
+	ctx, cancel := context.WithCancel(c.context())
 	c.outliveStop = context.AfterFunc(c.proxy.stop.ended, cancel)
 	return ctx, func() {
 		c.outliveStop()
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -13,11 +13,12 @@
 // before sending it would double the time. The received part is buffered, so that a request that did not run can be
 // sent again. Only one attempt reads it at a time.
 type upload struct {
-	source     io.Reader
-	controller *http.ResponseController
-	deadline   time.Time // by which the caller must have sent the body
-	buffered   []byte    // the part received so far
-	readErr    error     // of the last read from source; io.EOF if the body is complete
+	source      io.Reader
+	controller  *http.ResponseController
+	deadline    time.Time // by which the caller must have sent the body
+	buffered    []byte    // the part received so far
+	readErr     error     // of the last read from source; io.EOF if the body is complete
+	interrupted bool      // a read of the body was interrupted
 }
 
 // newReader returns a reader of the body from its start, for the next attempt.
@@ -28,6 +29,7 @@
 
 // interrupt makes a pending read from the caller fail. The next attempt continues reading from the same position.
 func (u *upload) interrupt() {
+	u.interrupted = true
 	_ = u.controller.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is already closed
 }
 
