--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -39,6 +39,7 @@
 	nextRequestBegun atomic.Bool   // the first byte of the next request was received before the server reported the connection idle
 	idleSince        atomic.Int64  // when the last request ended or the connection was accepted, in nanoseconds of Unix time
 
+	breaksOff    atomic.Bool // Close resets the connection
 	deadlineMu   sync.Mutex
 	readDeadline time.Time // as set by the server
 
@@ -145,6 +146,15 @@
 	return disconnected
 }
 
+// BreakOff ends a response whose head was sent and whose body is incomplete. It does not return. Without a length or chunks,
+// which HTTP/1.0 has not, only a reset tells the client that the body is incomplete.
+func BreakOff(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !r.ProtoAtLeast(1, 1) {
+		c.breaksOff.Store(true)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // peek reports whether bytes of the client wait to be read, and whether the client has closed the connection.
 func (c *callerConn) peek() (unread, disconnected bool) {
 	err := control(c, func(fd int) error {
@@ -160,6 +170,11 @@
 // request's body. Those bytes are discarded for lingerTimeout, because they would otherwise cause a
 // reset that could destroy the response on its way to the client.
 func (c *callerConn) Close() error {
+	if c.breaksOff.Load() {
+		_ = c.TCPConn.SetLinger(0) // fails only if the connection is already closed
+		c.state.Store(connClosed)
+		return c.closeSocket()
+	}
 	if c.state.Swap(connClosed) != connActive || c.TCPConn.CloseWrite() != nil {
 		return c.closeSocket()
 	}
