entry/gateway: a graceful shutdown is not held by the first byte of a request

A kept connection on which one to three bytes arrived counts as active, and net/http waits for the fourth with its idle timeout of two minutes. A connection whose request began to arrive and whose head is incomplete after headerTimeout is closed during a shutdown.

--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -39,7 +39,10 @@
 	nextRequestBegun atomic.Bool   // the first byte of the next request was received before the server reported the connection idle
 	idleSince        atomic.Int64  // when the last request ended or the connection was accepted, in nanoseconds of Unix time
 
-	breaksOff    atomic.Bool // Close resets the connection
+	begunAt   atomic.Int64 // when the first byte of the request was received, in nanoseconds of Unix time
+	headRead  atomic.Bool  // the head of the request was read
+	breaksOff atomic.Bool  // Close resets the connection
+
 	deadlineMu   sync.Mutex
 	readDeadline time.Time // as set by the server
 
@@ -88,6 +91,11 @@
 
 // begin marks an idle or closing connection as active and reports whether it was one.
 func (c *callerConn) begin() bool {
+	state := c.state.Load()
+	if state != connIdle && state != connClosing {
+		return false
+	}
+	c.begunAt.Store(c.listener.now().UnixNano()) // before the connection counts as active
 	if c.state.CompareAndSwap(connIdle, connActive) {
 		return true
 	}
@@ -195,6 +203,14 @@
 	return c.TCPConn.Close()
 }
 
+// closeIfStalled closes the connection if the head of a request began to arrive and was not complete within headerTimeout.
+// The server allows its own idle timeout for the first bytes.
+func (c *callerConn) closeIfStalled(now time.Time) {
+	if c.state.Load() == connActive && !c.headRead.Load() && now.UnixNano()-c.begunAt.Load() > int64(headerTimeout) {
+		_ = c.TCPConn.Close() // ends the server's read
+	}
+}
+
 // closeIfIdle makes the pending read close the connection, unless a request has been received by then. On a busy VM a
 // request may have been received long before the server reads it.
 func (c *callerConn) closeIfIdle() {
@@ -220,7 +236,10 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.idleSince.Store(c.listener.now().UnixNano())
+		now := c.listener.now().UnixNano()
+		c.idleSince.Store(now)
+		c.begunAt.Store(now)
+		c.headRead.Store(false)
 		if c.nextRequestBegun.Swap(false) {
 			c.requests.Add(1)
 			return
@@ -230,6 +249,7 @@
 		// The first bytes of this request may have been received together with the previous
 		// request.
 		c.begin()
+		c.headRead.Store(true)
 	}
 }
 
--- a/entry/gateway/drain.go
+++ b/entry/gateway/drain.go
@@ -71,6 +71,7 @@
 	}
 	for l.openCount() > 0 {
 		l.CloseIdle(l.now(), 1)
+		l.closeStalled()
 		err := clock.Sleep(ctx, l.clock(), shutdownSweepInterval)
 		if err != nil && l.connsIn(connActive) > 0 {
 			return errors.WithStack(err)
@@ -83,6 +84,16 @@
 	return nil
 }
 
+// closeStalled closes the connections on which a request began to arrive and went no further.
+func (l *Listener) closeStalled() {
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.closeIfStalled(now)
+	}
+}
+
 // connsIn returns how many open connections are in a state.
 func (l *Listener) connsIn(state uint32) int {
 	l.mu.Lock()
