--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -39,6 +39,10 @@
 	nextRequestBegun atomic.Bool   // the first byte of the next request was received before the server reported the connection idle
 	idleSince        atomic.Int64  // when the last request ended or the connection was accepted, in nanoseconds of Unix time
 
+	begunAt   atomic.Int64 // when the first byte of the request was received, in nanoseconds of Unix time
+	headRead  atomic.Bool  // the head of the request was read
+	breaksOff atomic.Bool  // Close resets the connection
+
 	deadlineMu   sync.Mutex
 	readDeadline time.Time // as set by the server
 
@@ -87,6 +91,11 @@
 
 // begin marks an idle or closing connection as active and reports whether it was one.
 func (c *callerConn) begin() bool {
+	state := c.state.Load()
+	if state != connIdle && state != connClosing {
+		return false
+	}
+	c.begunAt.Store(c.listener.now().UnixNano()) // before the connection counts as active
 	if c.state.CompareAndSwap(connIdle, connActive) {
 		return true
 	}
@@ -145,6 +154,15 @@
 	return disconnected
 }
 
+// BreakOff ends a response whose head was sent and whose body is incomplete. It does not return. Without a length or chunks,
+// which HTTP/1.0 has not, only a reset tells the client that the body is incomplete.
+func BreakOff(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !r.ProtoAtLeast(1, 1) {
+		c.breaksOff.Store(true)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // peek reports whether bytes of the client wait to be read, and whether the client has closed the connection.
 func (c *callerConn) peek() (unread, disconnected bool) {
 	err := control(c, func(fd int) error {
@@ -160,6 +178,11 @@
 // request's body. Those bytes are discarded for lingerTimeout, because they would otherwise cause a
 // reset that could destroy the response on its way to the client.
 func (c *callerConn) Close() error {
+	if c.breaksOff.Load() {
+		_ = c.TCPConn.SetLinger(0) // fails only if the connection is already closed
+		c.state.Store(connClosed)
+		return c.closeSocket()
+	}
 	if c.state.Swap(connClosed) != connActive || c.TCPConn.CloseWrite() != nil {
 		return c.closeSocket()
 	}
@@ -180,6 +203,14 @@
 	return c.TCPConn.Close()
 }
 
+// closeIfStalled closes the connection if the head of a request began to arrive and was not complete within headerTimeout.
+// The server allows its own idle timeout for the first bytes.
+func (c *callerConn) closeIfStalled(now time.Time) {
+	if c.state.Load() == connActive && !c.headRead.Load() && now.UnixNano()-c.begunAt.Load() > int64(headerTimeout) {
+		_ = c.TCPConn.Close() // ends the server's read
+	}
+}
+
 // closeIfIdle makes the pending read close the connection, unless a request has been received by then. On a busy VM a
 // request may have been received long before the server reads it.
 func (c *callerConn) closeIfIdle() {
@@ -205,7 +236,10 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.idleSince.Store(c.listener.now().UnixNano())
+		now := c.listener.now().UnixNano()
+		c.idleSince.Store(now)
+		c.begunAt.Store(now)
+		c.headRead.Store(false)
 		if c.nextRequestBegun.Swap(false) {
 			c.requests.Add(1)
 			return
@@ -215,6 +249,7 @@
 		// The first bytes of this request may have been received together with the previous
 		// request.
 		c.begin()
+		c.headRead.Store(true)
 	}
 }
 
