entry/proxy: an upload that its first upstream refused early is answered

Callers saw the connection end with no answer when an upstream refused an upload as not run before it had arrived. Reading the rest is interrupted before the next attempt, net/http takes the interrupted read for a disconnected caller and ends the request's context, and the next attempt was given up as cancelled. Found while the ends of requests in planned stops were gone through: the request is ended by state that is older than what is on the wire.

After an interruption the request's context no longer counts; the socket is still checked before each attempt, and a failed read of the body still ends the request. TestRefusedUploadIsResentWhole did not show it, as its upstream reads the body before its refusal leaves.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -68,6 +69,15 @@
 	}
 }
 
+// callerContext returns a context that is done when the caller disconnects. After an interrupted upload it is never done;
+// the socket is checked before each attempt.
+func (c *call) callerContext() context.Context {
+	if c.upload != nil && c.upload.interrupted {
+		return context.WithoutCancel(c.r.Context())
+	}
+	return c.r.Context()
+}
+
 // abandon ends a request whose caller has disconnected. It does not return.
 func (c *call) abandon() {
 	c.refundRate()
--- a/entry/proxy/stop.go
+++ b/entry/proxy/stop.go
@@ -52,7 +52,7 @@
 
 // endWithStop returns a context for the request's attempts that is done at the final answers too. Release must be called.
 func (c *call) endWithStop() (ctx context.Context, release func()) {
-	ctx, cancel := context.WithCancel(c.r.Context())
+	ctx, cancel := context.WithCancel(c.callerContext())
 	c.outliveStop = context.AfterFunc(c.proxy.stop.ended, cancel)
 	return ctx, func() {
 		c.outliveStop()
--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -110,3 +111,43 @@
 	is.True(<-readResult != nil)
 	_ = writer.Close()
 }
+
+// Guards against an upload that ends with a closed connection and no answer, because the first upstream refused it while it
+// was still arriving: interrupting the upload also ends the context of the request.
+func TestUploadRefusedEarlyIsResent(t *testing.T) {
+	is := is.New(t)
+	refused := make(chan struct{})
+	refuseFirst := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Upstream") == "u0" {
+			_, _ = io.ReadFull(r.Body, make([]byte, halfBody))
+			time.Sleep(20 * time.Millisecond)          // the proxy waits for the second half by then
+			conn, _, err := w.(http.Hijacker).Hijack() // the server would read the body before it answers
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Unavailable\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+			close(refused)
+			_, _ = io.Copy(io.Discard, conn)
+			return
+		}
+		received, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Stamp", "1")
+		_, _ = io.WriteString(w, strings.Repeat("x", len(received)/1024))
+	}
+	fx := newFixture(t, 0, refuseFirst, refuseFirst)
+	fx.balancer.RequestSent("u1") // makes u0 the better choice
+	reader, writer := io.Pipe()
+	go func() {
+		_, _ = writer.Write(make([]byte, halfBody))
+		<-refused
+		time.Sleep(50 * time.Millisecond)
+		_, _ = writer.Write(make([]byte, halfBody))
+		_ = writer.Close()
+	}()
+	response, body, err := fx.postBody("/once/", reader, 2*halfBody)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(len(body), 2*halfBody/1024)
+}
