--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -13,12 +13,13 @@
 // before sending it would double the time. The received part is buffered, so that a request that did not run can be
 // sent again. Only one attempt reads it at a time.
 type upload struct {
-	source      io.Reader
-	controller  *http.ResponseController
-	deadline    time.Time // by which the caller must have sent the body
-	buffered    []byte    // the part received so far
-	readErr     error     // of the last read from source; io.EOF if the body is complete
-	interrupted bool      // a read of the body was interrupted
+	source     io.Reader
+	controller *http.ResponseController
+	deadline   time.Time // by which the caller must have sent the body
+	buffered   []byte    // the part received so far
+	readErr    error     // of the last read from source; io.EOF if the body is complete
+	// interrupted reports that a read was ended by interrupt, which also ends the context of the request.
+	interrupted bool
 }
 
 // newReader returns a reader of the body from its start, for the next attempt.
