entry/proxy: an upload that its upstream refuses while the body arrives is sent to another one

Callers whose upload was refused by its first upstream before it had arrived saw the connection end without an answer, and no second upstream was asked. Cause: the interrupt of the pending read of the body is a read deadline, after which net/http ends the request's context as if the caller had disconnected; the next attempt, and a wait for an allowance, began with an ended context and gave up. After an interrupt they now go on without it, as README's door does; a caller that leaves is still seen by its socket before each attempt and by the read of its body. TestUploadThatIsRefusedEarlyIsAnswered failed before in nine of nine runs (EOF) and passes nine of nine.

--- a/entry/proxy/ratelimit.go
+++ b/entry/proxy/ratelimit.go
@@ -73,7 +73,7 @@
 		case <-p.opts.LeaseClock.After(remaining):
 		case <-p.stop.ended.Done():
 			return c.refuseAtEnd()
-		case <-c.r.Context().Done():
+		case <-c.callerContext().Done():
 			c.abandon()
 		}
 	}
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -18,6 +18,9 @@
 	deadline   time.Time // by which the caller must have sent the body
 	buffered   []byte    // the part received so far
 	readErr    error     // of the last read from source; io.EOF if the body is complete
+	// interrupted reports that a read was interrupted. The server then ends the request's context as if the caller had
+	// disconnected.
+	interrupted bool
 }
 
 // newReader returns a reader of the body from its start, for the next attempt.
@@ -28,6 +31,7 @@
 
 // interrupt makes a pending read from the caller fail. The next attempt continues reading from the same position.
 func (u *upload) interrupt() {
+	u.interrupted = true
 	_ = u.controller.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is already closed
 }
 
--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -214,6 +214,7 @@
 	var refused atomic.Int32
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		if refused.Add(1) == 1 {
+			_, _ = io.ReadFull(r.Body, make([]byte, halfBody)) // the caller's next bytes are awaited
 			c, _, err := w.(http.Hijacker).Hijack()
 			if err != nil {
 				t.Error(err)
