entry: a response that breaks off resets the connection of a caller with HTTP/1.0

Callers with HTTP/1.0 took a cut response without a length for a whole one, at both doors: nothing but the end of the connection ends such a response, and the aborted handler ended it in order. The connection is now reset.

--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -245,9 +245,7 @@
 	c.aborted = outcome == router.Abandoned || x.Aborted()
 	g.endAttempt(c, outcome, x.Elapsed)
 	if outcome != router.Answered {
-		// The panic aborts the connection, so that the caller does not take a partial response
-		// for a complete one.
-		panic(http.ErrAbortHandler)
+		AbortResponse(c.r)
 	}
 	if x.Length != 0 {
 		_ = c.responseController().SetWriteDeadline(time.Time{})
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -225,7 +225,7 @@
 	}
 	if err != nil {
 		c.recordAttempt(choice, balancer.Broken, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
-		panic(http.ErrAbortHandler) // lets the caller see that the response is incomplete
+		gateway.AbortResponse(c.r)
 	}
 	c.recordAttempt(choice, outcome, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
 	return attemptResult{answered: true, mayHaveArrived: true, mayHaveRun: true}
