--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -174,16 +174,6 @@
 	return unread, disconnected || err != nil
 }
 
-// AbortResponse ends a request whose response broke off after its head was sent. It does not return. A caller with HTTP/1.0
-// would take the end of the connection for the end of the response, so its connection is reset.
-func AbortResponse(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !r.ProtoAtLeast(1, 1) {
-		_ = c.SetLinger(0) // fails only if the connection is already closed
-		c.state.Store(connClosed)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // Close implements net.Conn. A connection that is closed during a request may still receive the
 // request's body. Those bytes are discarded for lingerTimeout, because they would otherwise cause a
 // reset that could destroy the response on its way to the client.
--- a/entry/proxy/stop.go
+++ b/entry/proxy/stop.go
@@ -50,14 +50,6 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: "this VM is shutting down", retryAfter: minRetryAfter}
 }
 
-// callerContext returns a context that ends when the caller disconnects, as far as the server can tell.
-func (c *call) callerContext() context.Context {
-	if c.upload != nil && c.upload.interrupted {
-		return context.WithoutCancel(c.r.Context())
-	}
-	return c.r.Context()
-}
-
 // endWithStop returns a context for the request's attempts that is done at the final answers too. Release must be called.
 func (c *call) endWithStop() (ctx context.Context, release func()) {
 	ctx, cancel := context.WithCancel(c.callerContext())
