entry/proxy: answers without end fail early and share their memory

Cause: an answer without a stated length was passed on from 256 KiB on, and buffers were not limited together. Now an answer that ends with its connection may have 256 KiB, one in chunks 64 MiB; a longer one fails, counts against its upstream, and is repeated elsewhere if it may be. Buffers consist of blocks from a pool and share 8 MiB; without room an answer is passed on as it arrives, and the first 16 KiB are always there. An answer that ends with its connection after more than 256 KiB is refused, which is new.

--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -320,6 +320,11 @@
 // Complete reports whether the response was read to its end.
 func (x *Exchange) Complete() bool { return x.complete }
 
+// Unframed reports whether the response's body ends with its connection.
+func (x *Exchange) Unframed() bool {
+	return !x.complete && x.Length < 0 && len(x.response.TransferEncoding) == 0
+}
+
 // Uploading reports whether part of the request's body has not been sent yet.
 func (x *Exchange) Uploading() bool { return !x.requestSent.Load() }
 
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -17,15 +18,14 @@
 )
 
 const (
-	// maxBufferedResponse is the longest response, in bytes, that is read completely before its header is sent to the
-	// caller, so that the request can be retried if the response is incomplete.
-	maxBufferedResponse = 256 << 10
 	// minStreamedBody is the shortest body, in bytes, that is streamed: it is sent while it arrives, concurrently with
 	// reading the response, because an upstream may answer before it has read a long body.
 	minStreamedBody = 16 << 10
 	// maxNonIdempotentIdle is the longest idle time after which a connection is reused for a non-idempotent request. If
 	// the connection broke while idle, it would be unknown whether the request ran.
 	maxNonIdempotentIdle = 3 * time.Second
+	// maxKeptFailure is the longest error response, in bytes, that is kept while the request is retried.
+	maxKeptFailure = 16 << 10
 	// maxConnectFailures is the number of failed connections after which a request gets no further attempt.
 	maxConnectFailures = 4
 )
@@ -78,7 +78,8 @@
 // attempt.
 func (c *call) finish(last attemptResult, refused *refusal) *refusal {
 	if last.failureResponse != nil {
-		c.writeResponse(last.failureResponse.status, last.failureResponse.header, last.failureResponse.body)
+		body := last.failureResponse.body
+		c.writeResponse(last.failureResponse.status, last.failureResponse.header, len(body), bytes.NewReader(body))
 		return nil
 	}
 	if last.refusal != nil {
@@ -182,36 +183,43 @@
 // keepFailure reads an upstream's error response to an idempotent request and keeps it, because a retry at another
 // upstream may succeed.
 func (c *call) keepFailure(choice balancer.Choice, startedAt time.Time, exchange *forward.Exchange, info ResponseInfo) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedResponse))
-	if err != nil || !exchange.Complete() {
+	buffer := responseBuffer{budget: &c.proxy.responseMemory}
+	defer buffer.release()
+	if err := buffer.readFrom(exchange); err != nil || !exchange.Complete() || buffer.size > maxKeptFailure {
 		return c.handleFailure(choice, startedAt, errors.New("the upstream's error response is incomplete or too long"))
 	}
 	c.recordAttempt(choice, balancer.Failed, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
-	return attemptResult{retryable: true, mayHaveArrived: true, mayHaveRun: true, failureResponse: &bufferedResponse{exchange.Status, exchange.Header, body}}
+	return attemptResult{retryable: true, mayHaveArrived: true, mayHaveRun: true, failureResponse: &bufferedResponse{exchange.Status, exchange.Header, buffer.copyBody()}}
 }
 
 // deliver sends the upstream's response to the caller. Responses longer than maxBufferedResponse are streamed.
 func (c *call) deliver(choice balancer.Choice, startedAt time.Time, exchange *forward.Exchange, info ResponseInfo) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(exchange, maxBufferedResponse))
-	if err != nil {
+	buffer := responseBuffer{budget: &c.proxy.responseMemory}
+	defer buffer.release()
+	if err := buffer.readFrom(exchange); err != nil {
+		exchange.Close()
 		return c.handleFailure(choice, startedAt, err)
 	}
 	outcome := balancer.Answered
 	if exchange.Status >= 500 {
 		outcome = balancer.Failed
 	}
-	if exchange.Complete() || len(body) < maxBufferedResponse {
+	if exchange.Complete() {
 		exchange.Close() // frees the connection for the next request before the caller has read this response
 		c.recordAttempt(choice, outcome, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
-		c.writeResponse(exchange.Status, exchange.Header, body)
+		c.writeResponse(exchange.Status, exchange.Header, buffer.size, &buffer)
 		return attemptResult{answered: true, mayHaveArrived: true, mayHaveRun: true}
 	}
 	c.writeHeader(exchange.Status, exchange.Header, exchange.Length)
-	_, err = c.w.Write(body)
+	_, err := buffer.WriteTo(c.w)
+	buffer.release()
 	if err == nil {
-		_, err = io.Copy(c.w, exchange)
+		err = stream(c.w, exchange)
 	}
 	if err != nil {
+		fields := c.logFields("cut")
+		fields["upstream"], fields["status"], fields["length"] = choice.Upstream.ID, exchange.Status, exchange.Length
+		c.proxy.opts.Log.Event(logrus.InfoLevel, "cut", fields, "response broken off: "+err.Error())
 		c.recordAttempt(choice, balancer.Broken, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
 		panic(http.ErrAbortHandler) // lets the caller see that the response is incomplete
 	}
@@ -236,14 +244,14 @@
 }
 
 // writeResponse sends a complete response to the caller and logs it.
-func (c *call) writeResponse(status int, header http.Header, body []byte) {
+func (c *call) writeResponse(status int, header http.Header, size int, body io.WriterTo) {
 	c.proxy.metrics.answered.Inc(1)
-	length := ident.Bytes(len(body))
+	length := ident.Bytes(size)
 	if c.r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
 		length = -1
 	}
 	c.writeHeader(status, header, int64(length))
-	_, _ = c.w.Write(body) // fails only if the caller disconnected
+	_, _ = body.WriteTo(c.w) // fails only if the caller disconnected
 	fields := c.logFields("answered")
 	fields["status"], fields["took"] = status, c.proxy.opts.Clock.Now().Sub(c.startedAt).String()
 	c.proxy.opts.Log.Event(logrus.InfoLevel, "answered", fields, "request answered")
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -54,12 +54,15 @@
 	DrainPeriod time.Duration // time in which callers can switch to other VMs during a graceful shutdown
 	GracePeriod time.Duration // maximum duration of a graceful shutdown, DrainPeriod included
 	MaxCallers  int           // open connections of callers from which idle ones are closed; 0 means no limit
-	Clock       clock.Clock   // for requests and connections
-	LeaseClock  clock.Clock   // for leases of allowances; also counts time while the VM is suspended
-	Log         *process.EventLog
-	Metrics     metrics.Registry
-	WireFormat  WireFormat
-	Forward     *forward.Client
+	// ResponseMemory limits the bytes of all responses that are held in memory before they are sent to callers; 0 means
+	// the default of 8 MiB.
+	ResponseMemory ident.Bytes
+	Clock          clock.Clock // for requests and connections
+	LeaseClock     clock.Clock // for leases of allowances; also counts time while the VM is suspended
+	Log            *process.EventLog
+	Metrics        metrics.Registry
+	WireFormat     WireFormat
+	Forward        *forward.Client
 }
 
 // Control is the connection to the control group that a Proxy uses.
@@ -78,6 +81,8 @@
 	stopping atomic.Bool
 	metrics  requestMetrics
 
+	responseMemory bufferBudget
+
 	mu                      sync.Mutex
 	table                   *catalog.Table
 	drainedDomains          map[ident.Domain]bool
@@ -106,6 +111,10 @@
 	p := &Proxy{opts: o, metrics: newRequestMetrics(o.Metrics), splitCredits: map[string][]float64{}, drainEndedAt: map[ident.Domain]time.Time{},
 		drainEndIndex: map[ident.Domain]ident.Index{}}
 	p.demand, p.reportAnswered = map[ident.Region]*demand{}, make(chan struct{})
+	p.responseMemory.free.Store(int64(o.ResponseMemory))
+	if o.ResponseMemory <= 0 {
+		p.responseMemory.free.Store(defaultResponseMemory)
+	}
 	p.rateLimiter.RequireFullReport()
 	p.startedAt = o.LeaseClock.Now()
 	p.balancer = balancer.Balancer{Domain: o.VM.Domain, Regions: o.Regions, Costs: o.Costs}
