--- a/entry/proxy/http10_test.go
+++ b/entry/proxy/http10_test.go
@@ -19,7 +19,7 @@
 // Guards against a cut answer without a length that looks whole to a caller with HTTP/1.0.
 func TestCutAnswerToOldCallerIsReset(t *testing.T) {
 	is := is.New(t)
-	fx := newFixture(t, 0, func(w http.ResponseWriter, r *http.Request) {
+	fx := newFixture(t, 0, func(w http.ResponseWriter, _ *http.Request) {
 		c, _, err := w.(http.Hijacker).Hijack()
 		if err != nil {
 			t.Error(err)
