--- a/load/relay/hostrelay.go
+++ b/load/relay/hostrelay.go
@@ -27,20 +27,20 @@
 	return &HostRelay{listen: listen, target: target, clock: c, log: log, links: make(map[string]*Link)}
 }
 
-// Start listens and forwards connections.
+// Start listens and forwards connections. A stopped relay can be started again.
 func (h *HostRelay) Start() error {
 	listener, err := process.Listen(h.listen)
 	if err != nil {
 		return err
 	}
 	h.listener = listener
-	go h.accept()
+	go h.accept(listener)
 	return nil
 }
 
-func (h *HostRelay) accept() {
+func (h *HostRelay) accept(listener net.Listener) {
 	for {
-		c, err := h.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
