fleet/observation: what one VM learns from its traffic reaches all VMs with their reports

Cause: a request or an answer taught one VM something that bound no other: nothing but the registry, rates and loads was shared. Change: VMs report facts to the leader at once, the leader returns to each VM those that it lacks, a new leader gets them back from the VMs. Facts are bounded in number, size and lifetime; ages travel with them, so that no clocks are compared.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -19,6 +19,7 @@
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/limit"
+	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/protocol"
 	"cuminfall.example/fleet/registry"
@@ -65,6 +66,7 @@
 	regionBalancer regionbalance.Balancer
 	objectPlanner  affinity.Planner
 	loadTracker    affinity.LoadTracker
+	observations   observation.Board
 	usable         affinity.UsableUpstreams   // as of usableUpdated
 	slotCapacity   regionbalance.SlotCapacity // of the usable upstreams
 	usableUpdated  time.Time
@@ -341,7 +343,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReports[q.VM.Name] = now
-	reply := protocol.ReportReply{Term: term, Lease: ratelimit.LeaseDuration}
+	reply := protocol.ReportReply{Term: term, Lease: ratelimit.LeaseDuration, Observed: c.observations.Exchange(now, term, q.Observed)}
 	if q.AppliedTerm != term && !q.Full {
 		reply.FullReportRequired = true
 		return reply, nil
@@ -377,6 +379,7 @@
 	}
 	c.term = term
 	c.vmPlans, c.regionBalancer, c.objectPlanner, c.loadTracker = map[ident.VM]*vmPlan{}, regionbalance.Balancer{}, affinity.Planner{}, affinity.LoadTracker{}
+	c.observations = observation.Board{}
 	c.rateAllocator.Tolerance = c.opts.RateTolerance
 	c.lastReports, c.lastSeen = map[ident.VM]time.Time{}, map[registry.UpstreamID]time.Time{}
 	var mayHoldAllowances []ident.VM
--- /dev/null
+++ b/entry/proxy/observe.go
@@ -0,0 +1,40 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"cuminfall.example/fleet/observation"
+	"cuminfall.example/fleet/protocol"
+)
+
+// observe records a fact that this VM learned from its traffic, and sends it to all other VMs. The caller must not hold
+// p.mu.
+func (p *Proxy) observe(fact observation.Fact, lifetime time.Duration) {
+	now := p.opts.LeaseClock.Now()
+	p.mu.Lock()
+	added := p.observations.Add(now, fact, lifetime)
+	if added {
+		p.handleObservation(observation.Observation{Fact: fact, Left: lifetime}, "")
+		p.metrics.observations.Update(int64(p.observations.Len()))
+	}
+	p.mu.Unlock()
+	if added {
+		p.control.TriggerReport()
+	}
+}
+
+// applyObservations applies the facts of a leader's reply; p.mu is held.
+func (p *Proxy) applyObservations(now time.Time, report protocol.Report, reply protocol.ReportReply) {
+	for _, o := range p.observations.Apply(now, reply.Term, report.Observed, reply.Observed) {
+		p.handleObservation(o, "leader")
+	}
+	p.metrics.observations.Update(int64(p.observations.Len()))
+}
+
+// handleObservation acts on a fact that is new to this VM, which learned it by itself or from a source; p.mu is held.
+func (p *Proxy) handleObservation(o observation.Observation, source string) {
+	p.opts.Log.Event(logrus.InfoLevel, "observed", logrus.Fields{"event": "observed", "kind": o.Kind, "subject": o.Subject, "upstream": o.Upstream,
+		"born": o.StartedAt, "of": o.VM, "round": o.Round, "age": o.Age.String(), "left": o.Left.String(), "source": source}, "fact about the traffic learned")
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/object"
+	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/protocol"
 	"cuminfall.example/fleet/registry"
@@ -98,6 +99,7 @@
 	demand                  map[ident.Region]*demand // by the region that the requests are pinned to; empty if not pinned
 	sends, outOfRegionSends throttle.Meter
 	linkDelay               throttle.LinkDelay
+	observations            observation.Set
 	reportAnswered          chan struct{} // closed when the next reply to a report is applied
 	startedAt               time.Time     // start of this process, by LeaseClock
 	reportSequence          uint64        // number of the last report
@@ -222,6 +224,7 @@
 type requestMetrics struct {
 	requests, answered, refused, limited, retried, broken metrics.Counter
 	totalTime, upstreamTime                               metrics.Histogram
+	observations                                          metrics.Gauge
 }
 
 // reservoirSize and reservoirAlpha are the usual parameters of an exponentially decaying sample: 99.9% confidence with
@@ -236,8 +239,9 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram("front."+name+".us", registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	}
+	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("front."+name, registry) }
 	return requestMetrics{counter("requests"), counter("answered"), counter("refused"), counter("limited"), counter("retried"), counter("broken"),
-		histogram("total"), histogram("upstream")}
+		histogram("total"), histogram("upstream"), gauge("observations")}
 }
 
 func incarnationOf(id registry.UpstreamID, startedAt int64) ident.Incarnation {
--- a/entry/proxy/ratelimit.go
+++ b/entry/proxy/ratelimit.go
@@ -118,9 +118,13 @@
 // HandleReply implements follower.Handler: it applies the leader's reply to a report.
 func (p *Proxy) HandleReply(sentAt time.Time, report protocol.Report, reply protocol.ReportReply) {
 	now := p.opts.LeaseClock.Now()
+	if reply.Observed != nil && reply.Observed.More {
+		defer p.control.TriggerReport() // after p.mu has been released
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.linkDelay.AddSample(now, now.Sub(sentAt))
+	p.applyObservations(now, report, reply)
 	close(p.reportAnswered) // after the reply has been applied, because the waiting requests need p.mu
 	p.reportAnswered = make(chan struct{})
 	if reply.FullReportRequired {
@@ -151,5 +155,6 @@
 	report := protocol.Report{VM: vm, Sequence: p.reportSequence, AppliedSequence: p.appliedSequence, AppliedTerm: p.appliedTerm, RecentlyStarted: now.Sub(p.startedAt) < 2*p.opts.Bounds.RateWindow}
 	report.RateUsage, report.Full = p.rateLimiter.Report(now)
 	p.addDemand(now, &report)
+	report.Observed = p.observations.Report(now)
 	return report
 }
--- /dev/null
+++ b/fleet/observation/observation.go
@@ -0,0 +1,127 @@
+package observation
+
+import (
+	"time"
+
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/registry"
+)
+
+const (
+	// maxFacts limits the facts that a VM or the leader keeps. Beyond it, those that were received first are dropped.
+	maxFacts = 4096
+	// maxReportFacts limits the facts in one report; the newest ones are sent first.
+	maxReportFacts = 256
+	// maxReplyFacts limits the facts in one reply. A full board takes four replies, 190 KB after compression.
+	maxReplyFacts = 1024
+	// maxLifetime limits how long any fact is kept.
+	maxLifetime = time.Hour
+	// maxSubjectBytes limits a fact's subject.
+	maxSubjectBytes = 128
+)
+
+// Kind says what a fact is about. VMs ignore kinds that they don't know.
+type Kind string
+
+// Fact is something that a VM learned from its traffic. Facts that two VMs learn about the same event are equal.
+type Fact struct {
+	Kind      Kind                `json:"kind"`
+	Subject   string              `json:"subject,omitempty"`  // as defined by the kind, at most 128 bytes
+	Upstream  registry.UpstreamID `json:"upstream,omitempty"` // the upstream that it concerns
+	StartedAt int64               `json:"born,omitempty"`     // start of that upstream's lifetime, as in registry.Upstream
+	VM        ident.VM            `json:"vm,omitempty"`       // the VM that it concerns
+	Round     int                 `json:"round,omitempty"`    // tells repeated events apart
+}
+
+// Observation is a fact with its age, as it is sent.
+type Observation struct {
+	Fact
+	Age  time.Duration `json:"age"`  // since a VM learned it
+	Left time.Duration `json:"left"` // until it expires
+}
+
+// Report is the part of a VM's report that concerns facts.
+type Report struct {
+	Term    ident.Term    `json:"term,omitempty"`  // of the leader that Applied refers to
+	Applied uint64        `json:"seen,omitempty"`  // serial number up to which this VM has the leader's facts
+	Facts   []Observation `json:"facts,omitempty"` // that the leader of Term may lack
+}
+
+// Reply is the part of the leader's reply that concerns facts.
+type Reply struct {
+	Applied uint64        `json:"seen,omitempty"`  // serial number up to which the VM has the leader's facts after this reply
+	Facts   []Observation `json:"facts,omitempty"` // that the VM may lack
+	More    bool          `json:"more,omitempty"`  // there are further facts for the next reply
+}
+
+// record is a fact as it is kept.
+type record struct {
+	fact                 Fact
+	learnedAt, expiresAt time.Time
+	serial               uint64 // in the order of receipt, from 1
+	confirmed            bool   // the leader of the present term has it
+	leaderOrder          uint64 // position among the facts that the leader of the present term sent, from 1; 0 if it has not
+}
+
+// observation returns the record as it is sent at now.
+func (r *record) observation(now time.Time) Observation {
+	return Observation{Fact: r.fact, Age: now.Sub(r.learnedAt).Truncate(time.Millisecond), Left: r.expiresAt.Sub(now).Truncate(time.Millisecond)}
+}
+
+// records are facts in the order of receipt. The zero value is empty.
+type records struct {
+	byFact     map[Fact]*record
+	order      []*record
+	lastSerial uint64
+	nextExpiry time.Time // no fact expires before
+}
+
+// add keeps a fact and returns its record, and whether it is new. If the fact is known, the earlier time at which it was
+// learned counts: an age grows by the transit time of each message, so the later one is less exact.
+func (s *records) add(now time.Time, o Observation) (r *record, added bool) {
+	if o.Kind == "" || len(o.Subject) > maxSubjectBytes || o.Left <= 0 {
+		return nil, false
+	}
+	s.expire(now)
+	learnedAt := now.Add(-max(o.Age, 0))
+	if r = s.byFact[o.Fact]; r != nil {
+		if learnedAt.Before(r.learnedAt) {
+			r.learnedAt = learnedAt
+		}
+		return r, false
+	}
+	if s.byFact == nil {
+		s.byFact = map[Fact]*record{}
+	}
+	s.lastSerial++
+	r = &record{fact: o.Fact, learnedAt: learnedAt, expiresAt: now.Add(min(o.Left, maxLifetime)), serial: s.lastSerial}
+	if len(s.order) == 0 || r.expiresAt.Before(s.nextExpiry) {
+		s.nextExpiry = r.expiresAt
+	}
+	s.byFact[o.Fact] = r
+	s.order = append(s.order, r)
+	if len(s.order) > maxFacts {
+		delete(s.byFact, s.order[0].fact)
+		s.order = s.order[1:]
+	}
+	return r, true
+}
+
+// expire removes the facts that have expired.
+func (s *records) expire(now time.Time) {
+	if len(s.order) == 0 || now.Before(s.nextExpiry) {
+		return
+	}
+	kept := make([]*record, 0, len(s.order))
+	for _, r := range s.order {
+		if !now.Before(r.expiresAt) {
+			delete(s.byFact, r.fact)
+			continue
+		}
+		if len(kept) == 0 || r.expiresAt.Before(s.nextExpiry) {
+			s.nextExpiry = r.expiresAt
+		}
+		kept = append(kept, r)
+	}
+	s.order = kept
+}
--- a/fleet/protocol/protocol.go
+++ b/fleet/protocol/protocol.go
@@ -6,6 +6,7 @@
 
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/object"
+	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/registry"
 )
 
@@ -102,6 +103,8 @@
 	InFlight      Loads                           `json:"sent,omitempty"`   // requests that this VM sent
 	RegionWeights RegionWeightsByService          `json:"flows,omitempty"`  // weights that this VM uses; only in full reports
 	Assignments   Assignments                     `json:"places,omitempty"` // assignments that this VM uses; only in full reports
+
+	Observed *observation.Report `json:"observed,omitempty"` // what this VM learned from its traffic
 }
 
 // ReportReply renews the lease of all allowances and carries the values that changed.
@@ -115,6 +118,7 @@
 	Assignments        Assignments            `json:"places,omitempty"` // those that changed
 	Saturated          Loads                  `json:"full,omitempty"`   // loads by all VMs, of upstreams whose slots are all in use
 	Utilization        Utilization            `json:"uses,omitempty"`
+	Observed           *observation.Reply     `json:"observed,omitempty"` // what other VMs learned from their traffic
 }
 
 // ProposeReply is the outcome of a command that a member forwarded to the leader, and its position in the log.
