entry/quarantine: a request that crashes upstreams stops reaching them

Cause: no VM knew a request again. A crash counted against the upstream alone, and a broken connection sent an idempotent request on to the next one. Change: an attempt that breaks is followed by a check whether the upstream refuses connections. A crash is a fact of the request's fingerprint, shared by all VMs; an answer takes it back. After two crashes a VM sends such requests one at a time, after three not at all but for single probes after growing pauses, which the leader's order of claims gives to one VM. Refusals are 503 with the time of the next probe. Log lines "crash", "verdict", "probe", "cleared"; counters and gauges beside them.

--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -256,6 +256,13 @@
 	return nil, err
 }
 
+// Refuses reports whether an endpoint refuses a new connection, as it does when its process has ended. It returns false
+// if that is not known, and also if the process has been replaced.
+func (c *Client) Refuses(address ident.Address, incarnation ident.Incarnation) bool {
+	p := c.findPool(&Request{Endpoint: address, Incarnation: incarnation})
+	return p != nil && p.refuses(c.clock.Now().Add(c.dialTimeout))
+}
+
 func newFailure(reason Reason, sent bool, peer ident.Address, code fault.Code, message string) *Failure {
 	execution := fault.NotExecuted
 	if sent {
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 )
@@ -163,6 +166,21 @@
 	return true
 }
 
+// refuses reports whether the endpoint's host refuses a new connection. It returns false if the limit leaves no place
+// for one.
+func (p *pool) refuses(deadline time.Time) bool {
+	if !p.reserve() && !(p.closeIdle(1) && p.reserve()) {
+		return false
+	}
+	defer p.release()
+	raw, err := p.connect(context.Background(), deadline)
+	if err == nil {
+		_ = raw.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // put makes a connection available to the next request.
 func (p *pool) put(c *conn) {
 	c.idleSince = p.client.clock.Now()
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -37,6 +37,7 @@
 	var tried []registry.UpstreamID
 	sends, connectFailures := 0, 0
 	var last attemptResult
+	defer c.leaveQuarantine()
 	for {
 		if gateway.ClientDisconnected(c.r.Context()) {
 			c.abandon()
@@ -44,6 +45,9 @@
 		if c.endedByStop() {
 			return c.finish(last, c.refuseAtEnd())
 		}
+		if refused := c.passQuarantine(); refused != nil {
+			return c.finish(last, refused)
+		}
 		if refused := c.renewRate(); refused != nil {
 			return c.finish(last, refused)
 		}
@@ -62,7 +66,7 @@
 		} else {
 			connectFailures++
 		}
-		if !last.retryable || connectFailures >= maxConnectFailures || last.mayHaveArrived && !c.takeRetry(sends) {
+		if !last.retryable || last.mayHaveArrived && !c.mayRetrySuspect(last) || connectFailures >= maxConnectFailures || last.mayHaveArrived && !c.takeRetry(sends) {
 			return c.finish(last, nil)
 		}
 		c.proxy.opts.Log.Event(logrus.InfoLevel, "again", c.logFields("again"), "retrying request at another upstream")
@@ -116,6 +120,7 @@
 	retryable       bool              // the request may be sent to another upstream
 	mayHaveArrived  bool              // the upstream received the request or may have received it
 	mayHaveRun      bool              // the upstream ran the request or may have run it
+	crashed         bool              // the upstream's process ended while it had the request
 }
 
 func (c *call) attempt(choice balancer.Choice) attemptResult {
@@ -198,7 +203,8 @@
 	}
 	c.proxy.metrics.broken.Inc(1)
 	c.recordAttempt(choice, balancer.Broken, elapsed, -1)
-	return attemptResult{retryable: c.route.Idempotent, mayHaveArrived: true, mayHaveRun: true, refusal: &refusal{status: http.StatusBadGateway, reason: err.Error()}}
+	crashed := c.investigate(choice, failure)
+	return attemptResult{retryable: c.route.Idempotent, mayHaveArrived: true, mayHaveRun: true, crashed: crashed, refusal: &refusal{status: http.StatusBadGateway, reason: err.Error()}}
 }
 
 // keepFailure reads an upstream's error response to an idempotent request and keeps it, because a retry at another
@@ -209,7 +215,9 @@
 	if err := buffer.readFrom(exchange); err != nil || !exchange.Complete() || buffer.size > maxKeptFailure {
 		return c.handleFailure(choice, startedAt, errors.New("the upstream's error response is incomplete or too long"))
 	}
+	exchange.Close()
 	c.recordAttempt(choice, balancer.Failed, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
+	c.recordAnswer(info)
 	return attemptResult{retryable: true, mayHaveArrived: true, mayHaveRun: true, failureResponse: &bufferedResponse{exchange.Status, exchange.Header, buffer.copyBody()}}
 }
 
@@ -227,6 +235,7 @@
 	}
 	if exchange.Complete() {
 		exchange.Close() // frees the connection for the next request before the caller has read this response
+		c.recordAnswer(info)
 		c.recordAttempt(choice, outcome, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
 		c.writeResponse(exchange.Status, exchange.Header, buffer.size, &buffer)
 		return attemptResult{answered: true, mayHaveArrived: true, mayHaveRun: true}
@@ -243,9 +252,16 @@
 		fields["upstream"], fields["status"], fields["length"] = choice.Upstream.ID, exchange.Status, exchange.Length
 		c.proxy.opts.Log.Event(logrus.InfoLevel, "cut", fields, "response broken off: "+err.Error())
 		c.recordAttempt(choice, balancer.Broken, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
+		var failure *forward.Failure
+		if errors.As(err, &failure) {
+			exchange.Close()
+			c.investigate(choice, failure)
+		}
 		gateway.BreakOff(c.r) // lets the caller see that the response is incomplete
 	}
+	exchange.Close()
 	c.recordAttempt(choice, outcome, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
+	c.recordAnswer(info)
 	return attemptResult{answered: true, mayHaveArrived: true, mayHaveRun: true}
 }
 
--- a/entry/proxy/observe.go
+++ b/entry/proxy/observe.go
@@ -17,7 +17,7 @@
 	added := p.observations.Add(now, fact, lifetime)
 	if added {
 		p.handleObservation(observation.Observation{Fact: fact, Left: lifetime}, "")
-		p.metrics.observations.Update(int64(p.observations.Len()))
+		p.judgeSuspects(now)
 	}
 	p.mu.Unlock()
 	if added {
@@ -30,7 +30,9 @@
 	for _, o := range p.observations.Apply(now, reply.Term, report.Observed, reply.Observed) {
 		p.handleObservation(o, "leader")
 	}
-	p.metrics.observations.Update(int64(p.observations.Len()))
+	if reply.Observed != nil && len(reply.Observed.Facts) > 0 {
+		p.judgeSuspects(now)
+	}
 }
 
 // handleObservation acts on a fact that is new to this VM, which learned it by itself or from a source; p.mu is held.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -100,6 +100,7 @@
 	sends, outOfRegionSends throttle.Meter
 	linkDelay               throttle.LinkDelay
 	observations            observation.Set
+	suspects                suspects
 	reportAnswered          chan struct{} // closed when the next reply to a report is applied
 	startedAt               time.Time     // start of this process, by LeaseClock
 	reportSequence          uint64        // number of the last report
@@ -117,6 +118,7 @@
 	if o.ResponseMemory <= 0 {
 		p.responseMemory.free.Store(defaultResponseMemory)
 	}
+	p.suspects = newSuspects()
 	p.rateLimiter.RequireFullReport()
 	p.startedAt = o.LeaseClock.Now()
 	p.balancer = balancer.Balancer{Domain: o.VM.Domain, Regions: o.Regions, Costs: o.Costs}
@@ -224,7 +226,8 @@
 type requestMetrics struct {
 	requests, answered, refused, limited, retried, broken metrics.Counter
 	totalTime, upstreamTime                               metrics.Histogram
-	observations                                          metrics.Gauge
+	crashes, quarantineRefused, probes                    metrics.Counter // requests at crashed upstreams, refused requests, probes
+	suspectRequests, quarantinedRequests, observations    metrics.Gauge
 }
 
 // reservoirSize and reservoirAlpha are the usual parameters of an exponentially decaying sample: 99.9% confidence with
@@ -241,7 +244,8 @@
 	}
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("front."+name, registry) }
 	return requestMetrics{counter("requests"), counter("answered"), counter("refused"), counter("limited"), counter("retried"), counter("broken"),
-		histogram("total"), histogram("upstream"), gauge("observations")}
+		histogram("total"), histogram("upstream"), counter("crashes"), counter("quarantine.refused"), counter("quarantine.probes"),
+		gauge("quarantine.suspects"), gauge("quarantine.held"), gauge("observations")}
 }
 
 func incarnationOf(id registry.UpstreamID, startedAt int64) ident.Incarnation {
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -58,6 +58,7 @@
 	rateTakenAt    time.Time   // when it was last counted against its workspace's allowance
 	mayHaveRun     bool        // an upstream ran it or may have run it since rateTakenAt
 	outliveStop    func() bool // keeps the final answers of a graceful shutdown from ending the attempt
+	suspicion      suspicion
 }
 
 // refusal is an error response that the proxy itself sends in place of an upstream's response.
@@ -65,6 +66,7 @@
 	status     int
 	reason     string
 	retryAfter time.Duration    // for the Retry-After header; 0 omits it
+	maxRetry   time.Duration    // limits retryAfter; 0 means maxRetryAfter
 	choice     *balancer.Choice // the best upstream, if admission control refused the request
 	details    logrus.Fields    // additional log fields
 }
@@ -229,7 +231,7 @@
 	}
 	p.opts.Log.Event(logrus.InfoLevel, event, fields, "request "+event)
 	if refused.retryAfter > 0 {
-		retryAfter := min(max(refused.retryAfter, minRetryAfter), maxRetryAfter)
+		retryAfter := min(max(refused.retryAfter, minRetryAfter), max(refused.maxRetry, maxRetryAfter))
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	if p.stop.begun() || p.callers != nil && p.callers.Crowded() {
--- /dev/null
+++ b/entry/quarantine/fingerprint.go
@@ -0,0 +1,33 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+)
+
+// hashBytes is the length of each hash in a fingerprint. Callers choose what is hashed, but cannot use another caller's
+// API key, which is part of it.
+const hashBytes = 8
+
+// Head identifies requests that are alike except for their bodies.
+type Head string
+
+// Fingerprint identifies requests that are the same to an upstream. It begins with the request's Head.
+type Fingerprint string
+
+// HeadOf returns the head of a request. Target is the request target with the query, and caller the API key.
+func HeadOf(method, host, target, caller string, bodyLength int64) Head {
+	return Head(hash([]byte(strconv.Quote(method) + strconv.Quote(host) + strconv.Quote(target) + strconv.Quote(caller) + strconv.FormatInt(bodyLength, 10))))
+}
+
+// WithBody returns the fingerprint of a request with a head and a body.
+func (h Head) WithBody(body []byte) Fingerprint { return Fingerprint(string(h) + hash(body)) }
+
+// Head returns the head of a fingerprint.
+func (f Fingerprint) Head() Head { return Head(f[:min(len(f), hex.EncodedLen(hashBytes))]) }
+
+func hash(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:hashBytes])
+}
