control, entry/proxy: tests of two packages do not take each other's ports

Cause: TestProposalsNeedTheLeader got a stand-in's answer of entry/proxy's tests ("HTTP/1.1 421 Refused"), which ran beside it: its member's port had been free a moment before, and the other test listened on it first. Change: such addresses lie on a loopback host of the test's own process.

--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -55,10 +57,12 @@
 	<-m.done
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// freeAddress returns an address whose port was free a moment ago, on a loopback host of this process, so that tests
+// which run at the same time do not take it.
 func freeAddress(t *testing.T) ident.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/control/main_test.go
+++ b/control/main_test.go
@@ -21,7 +21,8 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/proxy/run_test.go
+++ b/entry/proxy/run_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,9 +20,11 @@
 	"cuminfall.example/fleet/ident"
 )
 
-// freeAddress returns a loopback address that no process listens on.
+// freeAddress returns an address whose port was free a moment ago, on a loopback host of this process, so that tests
+// which run at the same time do not take it.
 func freeAddress(t *testing.T) ident.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 	if err != nil {
 		t.Fatal(err)
 	}
