--- a/fleet/observation/observation_test.go
+++ b/fleet/observation/observation_test.go
@@ -161,7 +161,7 @@
 	simulatedVMs  = 30
 	reportPeriod  = 500 * time.Millisecond
 	reportTimeout = 900 * time.Millisecond
-	contactWindow = 4 * time.Second
+	contactTime   = 4 * time.Second
 	checkInterval = 500 * time.Millisecond
 )
 
@@ -279,9 +279,9 @@
 	}
 }
 
-// inTouch reports whether the VM and the leader had no fault for contactWindow before t.
+// inTouch reports whether the VM and the leader had no fault for contactTime before t.
 func (s *simulation) inTouch(vm *simulatedVM) bool {
-	return !vm.cut && s.now.Sub(vm.inTouchSince) >= contactWindow && s.now.Sub(s.leaderSince) >= contactWindow
+	return !vm.cut && s.now.Sub(vm.inTouchSince) >= contactTime && s.now.Sub(s.leaderSince) >= contactTime
 }
 
 // check compares what VMs know with what they and others learned. A fact may be unknown if the VM that learned it has
@@ -289,7 +289,7 @@
 func (s *simulation) check() {
 	for _, l := range s.learned {
 		source := s.vms[l.vm]
-		if s.now.Sub(l.at) < contactWindow || !s.inTouch(source) || source.set.records.byFact[l.fact] == nil {
+		if s.now.Sub(l.at) < contactTime || !s.inTouch(source) || source.set.records.byFact[l.fact] == nil {
 			continue
 		}
 		for i, vm := range s.vms {
