entry/router: refuse requests at once while their service has no upstream left

Requests of a service without a candidate (all have left, ended, or are drained or down) are now refused as busy and not run, on arrival, from the queue, and while their claim waits for control, when the view that has no candidate arrives.

TestNoUpstreamLeftRefusesAtOnce failed before: no refusal on arrival and none from the queue in all three cases.

--- a/entry/router/arrival.go
+++ b/entry/router/arrival.go
@@ -92,9 +92,21 @@
 	if !r.Fresh(r.now) {
 		return nil, r.staleRefusal()
 	}
+	if f := s.noUpstreamRefusal(); f != nil {
+		return nil, f
+	}
 	return s, nil
 }
 
+// noUpstreamRefusal returns the error for requests of a service whose upstreams have all left or are unavailable, or
+// nil if the service has an upstream.
+func (s *service) noUpstreamRefusal() *fault.Error {
+	if len(s.endpoints) > 0 {
+		return nil
+	}
+	return notExecuted(fault.Busy, "dispatch", string(s.Name), "the service has no upstream that takes requests")
+}
+
 // staleRefusal returns the error for requests while the configuration is missing or too old.
 func (r *Router) staleRefusal() *fault.Error {
 	age, ok := r.ConfigAge(r.now)
@@ -184,7 +196,7 @@
 	if !q.service.configured {
 		return notExecuted(fault.NotFound, "route", "caller", "service was removed")
 	}
-	return nil
+	return q.service.noUpstreamRefusal()
 }
 
 // zeroHash stands in for the hash of an unknown key.
