control/server: a VM that stopped as planned gives its slots back at once

The release of a VM that says that it ended carried no report, which the ledger takes for a holder that never reported to this leader and whose requests may go on. The release now carries what the VM reports with its last Sync, which is nothing after a stop without open requests.

TestEndedVMReturnsSlots failed before with 2 slots kept.

--- a/control/server/lending_test.go
+++ b/control/server/lending_test.go
@@ -277,3 +277,28 @@
 		is.True(!present) // lookups must not return the VM
 	}
 }
+
+// TestEndedVMReturnsSlots guards against a stopped VM whose slots stay taken for the longest timeout of their service,
+// and against granting those again that its last requests still use.
+func TestEndedVMReturnsSlots(t *testing.T) {
+	for _, inUse := range []uint32{0, 1} {
+		is := is.New(t)
+		s := newSim(1, 0, 0, 0)
+		s.setUp(2)
+		s.runUntil(t, 2*time.Second)
+		a, l := s.holders[0], s.leader
+		h := ledger.Holder{VM: ident.VM(a.vm), Incarnation: ident.Incarnation(a.incarnation)}
+		l.ledger.EachAllotment(h, func(id ident.Limit, held ledger.Allotment) {
+			is.True(id != slotsLimit || held.Ceiling.Count > inUse)
+		})
+		_, err := l.server.Sync(context.Background(), &rpc.SyncRequest{
+			Vm: a.vm, Incarnation: a.incarnation, Address: "10.0.1.1:80", Domain: "d1", Ended: true,
+			Demands: []*rpc.Demand{{Limit: slotsLimit, Used: inUse, UntilMs: 5000}},
+		})
+		is.NoErr(err)
+		kept := l.ledger.ResidualUsage(l.ledger.LogTime())
+		is.Equal(kept[slotsLimit].Count, inUse)
+		is.Equal(len(kept), int(inUse))
+		is.Equal(len(l.ledger.ResidualUsage(l.ledger.LogTime()+5*time.Second)), 0)
+	}
+}
--- a/control/server/session.go
+++ b/control/server/session.go
@@ -69,8 +69,8 @@
 	return reply, nil
 }
 
-// releaseEnded releases the shares of a VM that has stopped using them. It also succeeds for a
-// repeated request if the release was already committed.
+// releaseEnded releases the shares of a VM that has stopped using them, except for the counts that it reports to be in
+// use. It also succeeds for a repeated request if the release was already committed.
 func (s *Server) releaseEnded(ctx context.Context, term ident.Term, r *rpc.SyncRequest) (*rpc.SyncReply, error) {
 	h := ledger.Holder{VM: ident.VM(r.GetVm()), Incarnation: ident.Incarnation(r.GetIncarnation())}
 	var registeredAt ident.Index
@@ -79,7 +79,8 @@
 		s.mu.Lock()
 		s.leaderState.releasing[h] = registeredAt // a delayed request must not renew the lease
 		s.mu.Unlock()
-		release := &wire.Lend_Release{Holder: holderToWire(h), Entered: uint64(registeredAt)}
+		// Without a report, the ledger keeps all counts until the longest timeout has passed.
+		release := &wire.Lend_Release{Holder: holderToWire(h), Entered: uint64(registeredAt), Reported: true, Uses: reportedUses(r)}
 		if _, err := s.propose(ctx, "sync", ledger.SetShares{Lend: &wire.Lend{Releases: []*wire.Lend_Release{release}}}); err != nil {
 			return nil, err
 		}
