entry/router: a workspace's burst holds at the upstreams despite transit times

Tokens are taken before the send. Requests that are longer on their way than later ones arrive together with them.

A VM now keeps what its rate adds in 20 ms, at most a tenth, back from its burst. TestRateLeavesTimeForTransit failed before (more than 60 sends within 20 ms of a burst of 60).

--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -62,7 +62,7 @@
 	case q.service.NonIdempotent:
 		return 1 + reserved
 	}
-	return math.Max(1, math.Min(1+reserved, math.Floor(w.share.GetBurst())))
+	return math.Max(1, math.Min(1+reserved, math.Floor(sendableBurst(w.share))))
 }
 
 func (r *Router) beginClaim(q *request, out []Effect) []Effect {
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -400,7 +400,7 @@
 		a := rates[limit.OfWorkspace(w.name)]
 		lowered = lowered || isLowered(a, w.share)
 		w.share = a
-		w.bucket.Resize(r.now, a.GetRate(), a.GetBurst())
+		w.bucket.Resize(r.now, a.GetRate(), sendableBurst(a))
 	}
 	for _, l := range v.linkList {
 		a := rates[l.id]
@@ -425,6 +425,20 @@
 	return lowered
 }
 
+// Part of a workspace's share that is not granted as burst, because requests that are longer on their way than later ones
+// arrive at the upstreams together with them.
+const (
+	transitJitter  = 20 * time.Millisecond
+	maxTransitPart = 0.1 // of the burst
+)
+
+// sendableBurst returns how many requests a share lets this VM send at once.
+func sendableBurst(share *rpc.Allotment) float64 {
+	burst := share.GetBurst()
+	kept := math.Min(share.GetRate()*transitJitter.Seconds(), burst*maxTransitPart)
+	return math.Max(burst-kept, math.Min(burst, 1))
+}
+
 // isLowered reports whether the rate or the burst of a share is lower than before.
 func isLowered(share, previous *rpc.Allotment) bool {
 	return share.GetRate() < previous.GetRate() || share.GetBurst() < previous.GetBurst()
