control/coordinator, entry/follower: entry VMs take no registry from a member that has not caught up

What callers could see: an upstream that had left, or a key that had been withdrawn, was in use again at an entry VM that had just started.

A member that has started or regained contact with a leader asks that leader which index is committed, and says in its replies that it is catching up until its registry has reached that index. Entry VMs take nothing from it before, so one that has nothing certain has no catalog and is not ready. The question is sent after contact was regained: an append that waited in a socket during a suspension, or one from a leader without a lease, would name an old index.

--- a/control/consensus/follower.go
+++ b/control/consensus/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,11 +20,17 @@
 	if newTerm {
 		n.saveState()
 	}
+	if n.lostLeader(n.now) {
+		n.contact++
+	}
 	n.leaderLastSeen = n.now
 	n.resetElectionDeadline()
 	return true
 }
 
+// lostLeader returns whether the member has heard from no leader for the longest election timeout.
+func (n *Node) lostLeader(at time.Duration) bool { return at-n.leaderLastSeen > n.cfg.MaxElection }
+
 func (n *Node) handleAppendRequest(e AppendRequested) {
 	r := e.Request
 	reply := &wire.AppendReply{Member: n.id, Round: r.Round}
--- a/control/consensus/node.go
+++ b/control/consensus/node.go
@@ -79,6 +79,7 @@
 	failed         bool
 
 	leaderLastSeen   time.Duration // time of the last message from a leader, or of the start
+	contact          uint64        // how often contact with a leader was regained
 	electionDeadline time.Duration // end of the election timeout
 	votes            map[string]bool
 	votesRequested   bool // the vote requests of this election are sent
--- a/control/consensus/status.go
+++ b/control/consensus/status.go
@@ -17,15 +17,16 @@
 	TermStart   ident.Index   // first entry of the leader's term; 0 if this member does not lead
 	LeaderSince time.Duration // monotonic time of this member's election; 0 if it does not lead
 	Members     []*wire.Member
-	Isolated    bool // a leader has no contact with a majority, or another member has none with a leader
-	Failed      bool // the member stopped after a failure of its disk or state
+	Isolated    bool   // a leader has no contact with a majority, or another member has none with a leader
+	Contact     uint64 // how often this member regained contact with a leader since its start
+	Failed      bool   // the member stopped after a failure of its disk or state
 }
 
 // Status returns the node's view of the group at its monotonic time at.
 func (n *Node) Status(at time.Duration) Status {
 	s := Status{Role: n.role, Term: ident.Term(n.term), Leader: n.leaderAddress(),
-		LeaderID: ident.Member(n.leaderID), Committed: ident.Index(n.commitIndex), Members: n.members(), Failed: n.failed}
-	s.Isolated = at-n.leaderLastSeen > n.cfg.MaxElection
+		LeaderID: ident.Member(n.leaderID), Committed: ident.Index(n.commitIndex), Members: n.members(), Contact: n.contact, Failed: n.failed}
+	s.Isolated = n.lostLeader(at)
 	if n.role == Leader {
 		s.TermStart, s.LeaderSince = ident.Index(n.leaderState.termStart), n.leaderState.electedAt
 		s.Isolated = !n.HasLease(at) && at-max(n.leaderState.electedAt, n.leaderState.leaseExpiry) > n.cfg.Heartbeat
--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -58,6 +58,7 @@
 type Coordinator struct {
 	opts   Options
 	client protocol.Client
+	floor  registryFloor
 
 	mu             sync.Mutex
 	term           ident.Term // that this member leads; 0 if it is not the leader
@@ -270,45 +271,6 @@
 	return all
 }
 
-// handleFollow returns the commands that an entry VM or another follower of the registry lacks.
-func (c *Coordinator) handleFollow(ctx context.Context, body []byte) (any, error) {
-	var q protocol.FollowRequest
-	if err := json.Unmarshal(body, &q); err != nil {
-		return nil, fault.Wrap(err, fault.Invalid, "follow", "")
-	}
-	if q.StatusOnly {
-		reply := protocol.FollowReply{Index: c.opts.StateMachine.index()}
-		c.addGroupStatus(&reply)
-		return reply, nil
-	}
-	reply, changed, err := c.opts.StateMachine.entriesAfter(q.Index)
-	if err != nil {
-		return nil, err
-	}
-	if q.Wait > 0 && reply.Index <= q.Index {
-		select {
-		case <-ctx.Done():
-			return nil, fault.Wrap(ctx.Err(), fault.Deadline, "follow", "")
-		case <-changed:
-		case <-c.opts.Clock.After(q.Wait):
-		}
-		if reply, _, err = c.opts.StateMachine.entriesAfter(q.Index); err != nil {
-			return nil, err
-		}
-	}
-	c.addGroupStatus(&reply)
-	return reply, nil
-}
-
-// addGroupStatus adds what this member knows about its group to a reply.
-func (c *Coordinator) addGroupStatus(reply *protocol.FollowReply) {
-	s := c.opts.Replica.Status()
-	reply.Isolated, reply.Leader = s.Isolated, s.Leader
-	for _, m := range s.Members {
-		reply.Members = append(reply.Members, m.Address)
-	}
-}
-
 // callLeader forwards a request that only the leader can answer.
 func (c *Coordinator) callLeader(ctx context.Context, path string, body []byte, reply any) error {
 	leader := c.remoteLeader()
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -32,8 +32,10 @@
 	folder  string
 	disk    journal.Disk // replaces folder if it is set
 	seeds   []ident.Address
-	cancel  context.CancelFunc
-	done    chan error
+	// snapshotEvery is the number of entries between snapshots; 0 means the default.
+	snapshotEvery int
+	cancel        context.CancelFunc
+	done          chan error
 }
 
 func (m *member) start() {
@@ -41,7 +43,7 @@
 	log := &process.EventLog{FieldLogger: process.NewLogger(io.Discard, "info"), Clock: clock.System{}}
 	machine := NewStateMachine(log)
 	r, err := replica.Open(replica.Options{Name: string(m.address), Address: m.address, Folder: m.folder, Disk: m.disk, Peers: m.seeds,
-		StateMachine: machine, Clock: clock.BootTime{}, Log: log, ReplaceSilentVoters: true})
+		StateMachine: machine, Clock: clock.BootTime{}, Log: log, ReplaceSilentVoters: true, SnapshotEvery: m.snapshotEvery})
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -49,7 +51,10 @@
 		Regions: map[ident.Domain]ident.Region{"d": "r"}})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel, m.done = cancel, make(chan error, 1)
-	go func() { m.done <- m.Serve(ctx, metrics.NewRegistry(), "") }()
+	go func() {
+		defer close(m.done) // so that a member may be stopped twice
+		m.done <- m.Serve(ctx, metrics.NewRegistry(), "")
+	}()
 }
 
 func (m *member) stop() {
--- a/control/replica/status.go
+++ b/control/replica/status.go
@@ -17,6 +17,7 @@
 	Applied   ident.Index
 	Members   []Member
 	Isolated  bool   // a leader has no contact with a majority, or another member has none with a leader
+	Contact   uint64 // how often this member regained contact with a leader since its start
 	Failure   string // why the member stopped, or empty
 }
 
@@ -34,7 +35,7 @@
 	defer r.mu.Unlock()
 	n := r.node.Status(r.nodeTime())
 	s := Status{ID: r.id, Role: n.Role, Term: n.Term, Leader: n.Leader, Committed: n.Committed,
-		Applied: r.appliedIndex, Isolated: n.Isolated}
+		Applied: r.appliedIndex, Isolated: n.Isolated, Contact: n.Contact}
 	for _, m := range n.Members {
 		s.Members = append(s.Members, Member{ident.Member(m.Id), m.Name, ident.Address(m.Address), m.Voter})
 	}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -123,6 +123,9 @@
 		if err == nil && reply.Isolated {
 			err = fault.New(fault.Isolated, "follow", string(member), "member has no contact with a majority of the control group")
 		}
+		if err == nil && reply.CatchingUp {
+			err = fault.New(fault.Stale, "follow", string(member), "member may lack changes that others have")
+		}
 		if err == nil {
 			err = f.applyReply(member, reply)
 		}
@@ -172,7 +175,7 @@
 }
 
 // findMember queries all known addresses concurrently and follows the first member that answers, has contact with a
-// majority and is not behind this VM; it returns false if there is none. It requests no state, because the state of
+// majority, has caught up and is not behind this VM; it returns false if there is none. It requests no state, because the state of
 // all members at once would saturate a small VM's link for longer than callers and the search itself wait.
 func (f *Follower) findMember(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -197,7 +200,7 @@
 			continue
 		}
 		f.setMembers(result.reply.Members)
-		if result.reply.Isolated || result.reply.Index < f.registry.Index {
+		if result.reply.Isolated || result.reply.CatchingUp || result.reply.Index < f.registry.Index {
 			continue
 		}
 		f.targetIndex = result.reply.Index
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -25,6 +25,7 @@
 	mu           sync.Mutex
 	index        ident.Index
 	isolated     bool
+	catchingUp   bool
 	unresponsive bool
 	stateDelay   time.Duration // before a reply that carries state
 	stateReplies int           // replies that were begun with state
@@ -43,7 +44,7 @@
 		return nil, err
 	}
 	m.mu.Lock()
-	reply, unresponsive := protocol.FollowReply{Index: m.index, Isolated: m.isolated, Leader: m.leader}, m.unresponsive
+	reply, unresponsive := protocol.FollowReply{Index: m.index, Isolated: m.isolated, CatchingUp: m.catchingUp, Leader: m.leader}, m.unresponsive
 	stateDelay := m.stateDelay
 	if !request.StatusOnly && request.Index < reply.Index {
 		m.stateReplies++
@@ -151,6 +152,31 @@
 	}
 }
 
+// Guards against a restarted VM that uses an upstream or a key again which is gone.
+func TestTakesNoRegistryFromMemberThatCatchesUp(t *testing.T) {
+	is := is.New(t)
+	m := &fakeMember{index: 2, catchingUp: true}
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: []ident.Address{startMember(t, m)}, Log: process.NewLogger(io.Discard, "info")})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	time.Sleep(3 * probeRetryDelay)
+	is.Equal(h.lastIndex(), ident.Index(0))
+	m.mu.Lock()
+	m.index, m.catchingUp = 5, false
+	m.mu.Unlock()
+	waitForIndex(t, h, 5)
+	m.mu.Lock() // it loses contact and regains it between two requests
+	m.index, m.catchingUp = 6, true
+	m.mu.Unlock()
+	time.Sleep(3 * probeRetryDelay)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	is.Equal(h.indexes, []ident.Index{5})
+}
+
 // Guards against a VM that keeps sending reports to an unresponsive member until it stops following that member. A new
 // leader grants no allowances until all VMs have reported, so one late VM delays all of them by seconds.
 func TestReportsSwitchToResponsiveMember(t *testing.T) {
--- a/fleet/protocol/protocol.go
+++ b/fleet/protocol/protocol.go
@@ -24,7 +24,8 @@
 type FollowRequest struct {
 	Index      ident.Index   `json:"index"`
 	Wait       time.Duration `json:"wait"`
-	StatusOnly bool          `json:"probe,omitempty"` // reply at once, without state and entries
+	StatusOnly bool          `json:"probe,omitempty"`     // reply at once, without state and entries
+	Committed  bool          `json:"committed,omitempty"` // only the leader may answer, once it has applied all that is committed
 }
 
 // LogEntry is an encoded registry command with its position in the log.
@@ -42,6 +43,9 @@
 	Members  []ident.Address `json:"members,omitempty"` // internal addresses of the control group
 	Leader   ident.Address   `json:"leader,omitempty"`
 	Isolated bool            `json:"cut,omitempty"` // the member has no contact with a majority
+	// CatchingUp means that Index is below what was committed when the member regained contact with a leader, or that
+	// the member does not know yet.
+	CatchingUp bool `json:"behind,omitempty"`
 }
 
 // RateUsage is an entry VM's use of its allowance of a workspace's rate, in requests.
