--- a/control/main.go
+++ b/control/main.go
@@ -42,7 +42,7 @@
 		}
 		return o.Run()
 	case "run":
-		o, err := runcmd.New(args[1:], stderr, clock.System{}, openMember)
+		o, err := newRunCommand(args[1:], stderr)
 		if err != nil {
 			return err
 		}
@@ -54,6 +54,11 @@
 	return fault.New(fault.Usage, "control", "", "unknown command %q\n\n%s", args[0], usage)
 }
 
+// newRunCommand returns the command that runs a member. Leases end while the VM is suspended as well.
+func newRunCommand(args []string, stderr io.Writer) (*runcmd.Options, error) {
+	return runcmd.New(args, stderr, clock.BootTime{}, openMember)
+}
+
 // exitCode prints the error, if there is one, and returns the exit code of the process.
 func exitCode(err error, stderr io.Writer) int {
 	if err == nil {
--- a/control/main_test.go
+++ b/control/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -123,3 +124,11 @@
 	}
 	return lastErr
 }
+
+// Guards against leases that go on while the VM is suspended.
+func TestMemberRunsOnClockThatCountsSuspensions(t *testing.T) {
+	is := is.New(t)
+	o, err := newRunCommand([]string{"--settings", "control.toml"}, io.Discard)
+	is.NoErr(err)
+	is.Equal(o.Clock, clock.BootTime{})
+}
--- a/control/replica/peers.go
+++ b/control/replica/peers.go
@@ -249,7 +249,7 @@
 
 func (s service) Join(ctx context.Context, request *wire.JoinRequest) (*wire.JoinReply, error) {
 	m, err := s.call(ctx, func(at time.Duration, token consensus.Token) consensus.Event {
-		return consensus.JoinRequested{At: at, WallTime: s.replica.opts.Clock.Now(), Token: token, Request: request}
+		return consensus.JoinRequested{At: at, WallTime: s.replica.opts.WallClock.Now(), Token: token, Request: request}
 	})
 	reply, _ := m.(*wire.JoinReply)
 	return reply, err
--- a/control/replica/propose.go
+++ b/control/replica/propose.go
@@ -47,7 +47,7 @@
 	notify(r.proposalSignal)
 	result, err := r.awaitOutcome(ctx, token, proposal, "propose")
 	if err == nil {
-		r.metrics.commitTime.UpdateSince(startTime)
+		r.metrics.commitTime.Update(r.opts.Clock.Now().Sub(startTime))
 	}
 	return result, err
 }
@@ -65,7 +65,7 @@
 		if len(r.queuedProposals) > 0 {
 			items := r.queuedProposals
 			r.queuedProposals = nil
-			r.stepLocked(consensus.Propose{At: r.nodeTime(), WallTime: r.opts.Clock.Now(), Items: items})
+			r.stepLocked(consensus.Propose{At: r.nodeTime(), WallTime: r.opts.WallClock.Now(), Items: items})
 		}
 		r.mu.Unlock()
 	}
@@ -83,7 +83,7 @@
 	r.lastToken++
 	token := r.lastToken
 	r.pendingByToken[token] = removal
-	r.stepLocked(consensus.Remove{At: r.nodeTime(), WallTime: r.opts.Clock.Now(), Token: token, Name: name})
+	r.stepLocked(consensus.Remove{At: r.nodeTime(), WallTime: r.opts.WallClock.Now(), Token: token, Name: name})
 	r.mu.Unlock()
 	_, err := r.awaitOutcome(ctx, token, removal, "remove")
 	return err
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -35,7 +35,8 @@
 	Folder              string          // data folder
 	Peers               []ident.Address // control addresses from the settings, for join requests
 	StateMachine        StateMachine
-	Clock               clock.Clock
+	Clock               clock.Clock // for leases and elections
+	WallClock           clock.Clock // for the time of day of entries; nil means the system's clock
 	Log                 logrus.FieldLogger
 	Metrics             metrics.Registry
 	LocalAddr           net.Addr          // local address of connections to other members; nil lets the operating system choose
@@ -88,6 +89,9 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.System{}
 	}
+	if opts.WallClock == nil {
+		opts.WallClock = clock.System{}
+	}
 	if opts.Log == nil {
 		opts.Log = logrus.StandardLogger()
 	}
--- a/control/replica/work.go
+++ b/control/replica/work.go
@@ -73,7 +73,7 @@
 	if err := r.journal.Save(s.State, s.Snapshot, s.Entries); err != nil {
 		return err
 	}
-	r.metrics.syncTime.UpdateSince(startTime)
+	r.metrics.syncTime.Update(r.opts.Clock.Now().Sub(startTime))
 	r.metrics.syncedEntries.Inc(int64(len(s.Entries)))
 	r.handleEvent(consensus.Saved{At: r.nodeTime(), Seq: s.Seq})
 	return nil
