entry/router, entry/forward: no request is sent on a permission that ended after its dispatch

README's door checks key, freshness, shares and their lease when the router dispatches a request. Between that and the first byte lie the hand-over to the request's goroutine, the wait for a connection (up to a second) and for the link, and a pause of the process: the request then went out with a key that may have been withdrawn, on a lease that others had got meanwhile. Only the caller's deadline was checked before the send.

A dispatch carries the end of its permission, the earlier of the lease's end and the configuration's age, which is checked right before the first byte is written. A request that is late is dispatched again with all checks, without a mark against the upstream and without counting as an attempt; its attempt number goes on, so that a late report of the earlier one is still ignored.

--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -86,6 +86,8 @@
 		return newFailure(reason, sent, peer, fault.Upstream, "client disconnected")
 	case UploadFailed:
 		return newFailure(reason, sent, peer, fault.Invalid, "request body could not be read to its end")
+	case StartedLate:
+		return newFailure(reason, sent, peer, fault.Stale, "the permission to send the request ended before it was sent")
 	case BodyTooLarge:
 		return newFailure(reason, sent, peer, fault.TooLarge, "request body exceeds the service's limit")
 	default:
@@ -108,6 +110,10 @@
 			body = nil
 		}
 	}
+	if !r.StartBy.IsZero() && !x.conn.now().Before(r.StartBy) {
+		x.terminate(StartedLate)
+		return x.failureFor(nil)
+	}
 	x.finalWriteStarted.Store(r.Stream == nil && len(body) == 0)
 	if _, err := x.conn.Write(x.conn.headBuf); err != nil {
 		return x.failWith(err)
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -94,6 +94,7 @@
 	Workspace     ident.Workspace
 	Identity      string // the upstream's name, for wire formats with an IdentityHeader
 	Deadline      time.Time
+	StartBy       time.Time     // time before which the first byte must be written; zero means Deadline
 	MaxIdle       time.Duration // idle time up to which a connection may be reused; 0 means no limit
 	NewConnection bool          // open a new connection, because an earlier attempt failed on a reused one
 	NeedsIdentity bool          // use a connection on which the response is known to belong to this request
@@ -121,6 +122,7 @@
 	Cancelled                          // the caller's context ended
 	UploadFailed                       // the caller's body could not be read to its end
 	BodyTooLarge                       // the caller's body is over the limit
+	StartedLate                        // Request.StartBy passed before the first byte was written
 )
 
 // Aborted reports whether this side ended the exchange. The upstream may then still run the
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -227,7 +227,7 @@
 	q := &forward.Request{
 		Endpoint: c.send.Endpoint, Incarnation: c.send.Incarnation,
 		Method: r.Method, Target: target, Host: r.Host, Header: r.Header,
-		Workspace: c.send.Workspace, Deadline: c.deadline, NewConnection: c.send.NewConnection,
+		Workspace: c.send.Workspace, Deadline: c.deadline, StartBy: c.send.StartBy, NewConnection: c.send.NewConnection,
 	}
 	if c.send.ThrottleBody {
 		q.Throttle = throttle
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -212,6 +212,10 @@
 		g.refuse(c, f.Fault)
 		return true
 	}
+	if f.Reason == forward.StartedLate {
+		g.endAttempt(c, router.Lapsed, 0)
+		return false
+	}
 	if f.Sent {
 		c.reusedConn = f.Reused
 		g.endAttempt(c, router.Broken, 0)
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -97,7 +97,7 @@
 	}
 	q.send = Send{
 		ID:            q.id,
-		Attempt:       q.attempt,
+		Attempt:       q.attempt + q.lapsed,
 		Endpoint:      e.address,
 		Incarnation:   e.incarnation,
 		Workspace:     q.workspace.name,
@@ -107,6 +107,7 @@
 		ThrottleBody:  e.region.outboundLink != nil || e.region.inboundLink != nil,
 		NewConnection: newConnection,
 		Deadline:      q.deadline,
+		StartBy:       earlier(r.view.leaseExpiry, r.view.confirmedAt.Add(r.config.MaxViewAge)),
 	}
 	return append(out, &q.send)
 }
@@ -167,7 +168,7 @@
 // handleAttemptEnd finishes, retries or refuses a request after an attempt.
 func (r *Router) handleAttemptEnd(e *AttemptEnded, out []Effect) []Effect {
 	q := r.requests[e.ID]
-	if q == nil || q.state != sent || e.Attempt != 0 && e.Attempt != q.attempt {
+	if q == nil || q.state != sent || e.Attempt != 0 && e.Attempt != q.attempt+q.lapsed {
 		return out // reported twice, or for an earlier attempt
 	}
 	upstream := q.endpoint
@@ -183,6 +184,12 @@
 	case Truncated:
 		upstream.failures.add(r.now, 1)
 		out = r.finish(q, true, out)
+	case Lapsed:
+		// The upstream has no part in it, and the next dispatch checks the request again.
+		q.attempt--
+		q.lapsed++
+		q.tried[q.attempt] = nil
+		r.enqueue(q)
 	case NotSent:
 		upstream.failures.add(r.now, 1)
 		out = r.handleNotExecuted(q, upstream, e, fault.Unreachable, out)
--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -52,6 +52,7 @@
 	Broken                       // failed after a byte was sent and before a byte of a response was passed on
 	Truncated                    // failed after part of a response was passed on
 	Abandoned                    // the caller disconnected
+	Lapsed                       // no byte reached the upstream before Send.StartBy
 )
 
 // AttemptEnded reports the end of the attempt that a Send effect began.
@@ -132,6 +133,7 @@
 	ThrottleBody  bool        // body bytes may move only after TransferRequested allows them
 	NewConnection bool        // an earlier attempt failed on a reused connection to this endpoint, so a new one must be used
 	Deadline      time.Time
+	StartBy       time.Time // end of the configuration's age and of the lease; the first byte must be written before
 }
 
 // PauseTransfer answers TransferRequested: the bytes may not move yet, and the
--- a/entry/router/request.go
+++ b/entry/router/request.go
@@ -35,6 +35,7 @@
 	claimed     bool // control granted the claim to run this non-idempotent request
 
 	attempt              uint8
+	lapsed               uint8                  // further attempts, of which no byte was sent in time
 	tried                [maxAttempts]*endpoint // endpoints of the attempts so far
 	endpoint             *endpoint              // of the running attempt, which uses a slot there
 	region               *region                // of the running attempt, which counts against the region's capacity
