entry/quarantine: probes of a request that crashes upstreams end

Cause: the pauses between probes grew up to a limit, and nothing counted the probes. Change: after three probes that each crashed an upstream there is none until facts expire. If one had no outcome, as when its VM was killed, others follow after 18 minutes each.

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -44,6 +44,9 @@
 	crashPauseGrowth = 6
 	// silentPauseGrowth is the ratio of the pauses after probes without an outcome. The first one is probeTime.
 	silentPauseGrowth = 3
+	// maxProbes is the number of probes after which there are no others until facts expire, if each one crashed an
+	// upstream. If one had no outcome, others follow after maxPause each.
+	maxProbes = 3
 	// maxPause limits the pause between two probes.
 	maxPause = 18 * time.Minute
 )
@@ -144,7 +147,7 @@
 		if crashed := !lastCrash.Before(last.claimedAt); !crashed && now.Sub(last.claimedAt) < probeTime {
 			return c.decideOpenRound(now, vm, used, last)
 		}
-		next = c.nextProbe()
+		next = c.nextProbe(now)
 	}
 	if now.Before(next) {
 		return Decision{Action: Refuse, RetryAfter: next.Sub(now)}
@@ -163,15 +166,21 @@
 	return Decision{Action: Refuse, RetryAfter: r.claimedAt.Add(probeTime).Sub(now)}
 }
 
-// nextProbe returns the time of the next probe after the rounds so far.
-func (c *Case) nextProbe() time.Time {
+// nextProbe returns the time of the next probe after the rounds so far. It lies after the lifetime of the facts if there
+// is none.
+func (c *Case) nextProbe(now time.Time) time.Time {
 	crashed, last := 0, len(c.rounds)-1
 	for i := range c.rounds {
 		if c.crashedBetween(i) {
 			crashed++
 		}
 	}
-	if !c.crashedBetween(last) {
+	switch {
+	case crashed >= maxProbes:
+		return now.Add(Lifetime)
+	case len(c.rounds) >= maxProbes:
+		return c.rounds[last].claimedAt.Add(maxPause)
+	case !c.crashedBetween(last):
 		return c.rounds[last].claimedAt.Add(pause(probeTime, silentPauseGrowth, len(c.rounds)-crashed))
 	}
 	return c.crashes[len(c.crashes)-1].Add(pause(crashPause, crashPauseGrowth, crashed))
