entry/proxy: the wait of a suspect request ends with its VM's shutdown

What callers saw: a request that waits for the leader's reply to a claim, or whose body is read for its fingerprint, got no final answer when its VM's graceful shutdown ended running requests; it waited on for up to a second, or until its deadline. Cause: these two waits heard only the caller's end and their own limits. Change: both end with the shutdown's final answers; 503, as no upstream had the request. After an interrupted upload the caller's context is not consulted.

--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -172,7 +173,9 @@
 		select {
 		case <-changed:
 		case <-p.opts.LeaseClock.After(latest.Sub(now)):
-		case <-c.r.Context().Done():
+		case <-p.stop.ended.Done():
+			return c.refuseAtEnd()
+		case <-c.callerContext().Done():
 			c.abandon()
 		}
 	}
@@ -223,10 +226,15 @@
 	if _, ok := c.fingerprint(); ok {
 		return nil
 	}
-	_, err := io.Copy(io.Discard, c.upload.newReader())
+	body := c.upload.newReader()
+	endReading := context.AfterFunc(c.proxy.stop.ended, func() { _ = c.upload.controller.SetReadDeadline(time.Unix(1, 0)) })
+	_, err := io.Copy(io.Discard, body)
+	endReading()
 	switch _, complete := c.fingerprint(); {
 	case err == nil && complete:
 		return nil
+	case c.endedByStop():
+		return c.refuseAtEnd()
 	case c.upload.timedOut():
 		return &refusal{status: http.StatusRequestTimeout, reason: "request body was not received before the deadline"}
 	}
--- /dev/null
+++ b/entry/proxy/quarantine_test.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cuminfall.example/entry/quarantine"
+	"cuminfall.example/fleet/catalog"
+	"cuminfall.example/fleet/observation"
+	"cuminfall.example/fleet/registry"
+)
+
+// suspect makes a request known from crashes of upstreams that are gone, a second apart.
+func (fx *fixture) suspect(crashes int, method, path, body string) {
+	f := quarantine.HeadOf(method, "h", path, "key", int64(len(body))).WithBody([]byte(body))
+	now := fx.opts.LeaseClock.Now()
+	fx.mu.Lock()
+	defer fx.mu.Unlock()
+	for i := range crashes {
+		fact := observation.Fact{Kind: quarantine.Crash, Subject: string(f), Upstream: registry.UpstreamID(fmt.Sprint("gone", i)), StartedAt: 1}
+		fx.observations.Add(now.Add(-time.Duration(crashes-i)*time.Second), fact, quarantine.Lifetime)
+	}
+	fx.judgeSuspects(now)
+}
+
+// changeRoute replaces a route in the catalog.
+func (fx *fixture) changeRoute(name string, change func(*catalog.Route)) {
+	changed := *fx.catalog
+	changed.Routes = maps.Clone(fx.catalog.Routes)
+	route := changed.Routes[name]
+	change(&route)
+	changed.Routes[name] = route
+	fx.catalog, fx.registry.Catalog = &changed, &changed
+	fx.Update(fx.registry)
+}
+
+// Guards against a suspect request that waits for a claim or for its body beyond the end of its VM's shutdown.
+func TestWaitOfSuspectEndsWithStop(t *testing.T) {
+	whole := strings.Repeat("x", minStreamedBody)
+	for name, c := range map[string]struct{ body, sent string }{"claim": {"ab", "ab"}, "claim after upload": {whole, whole}, "upload": {whole, whole[1:]}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newFixture(t, 0, answerOK)
+			fx.changeRoute("once", func(r *catalog.Route) { r.Timeout = 20 * time.Second })
+			fx.suspect(3, "POST", "/once/x", c.body)
+			conn, err := net.Dial("tcp", fx.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			startedAt := time.Now()
+			time.AfterFunc(100*time.Millisecond, fx.stop.endRunning)
+			_, err = fmt.Fprintf(conn, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: id\r\nX-Left: 20000\r\nAuthorization: key\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.sent)
+			is.NoErr(err)
+			is.NoErr(conn.SetReadDeadline(startedAt.Add(maxSuspectWait * 3 / 4)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(fx.upstreamRequests.Load(), int32(0))
+		})
+	}
+}
