entry/proxy: a quarantine that ends a request after a run is not "not run"

What callers saw: 503, which promises that the request did not run, although its first attempt had reached an upstream and broken, the second one was not executed and the quarantine then allowed no third. Cause: the answer was that of the last attempt, which had not run. Change: a refusal by the quarantine becomes 502 if any attempt may have run. Result: TestQuarantineAfterRunIsNoRefusal got 503 before and gets 502.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -46,6 +46,9 @@
 			return c.finish(last, c.refuseAtEnd())
 		}
 		if refused := c.passQuarantine(); refused != nil {
+			if c.ran && last.failureResponse == nil {
+				return &refusal{status: http.StatusBadGateway, reason: refused.reason, details: refused.details}
+			}
 			return c.finish(last, refused)
 		}
 		if refused := c.renewRate(); refused != nil {
@@ -57,7 +60,7 @@
 		}
 		tried = append(tried, choice.Upstream.ID)
 		last = c.attempt(choice)
-		c.mayHaveRun = c.mayHaveRun || last.mayHaveRun
+		c.mayHaveRun, c.ran = c.mayHaveRun || last.mayHaveRun, c.ran || last.mayHaveRun
 		if last.answered {
 			return nil
 		}
--- a/entry/proxy/quarantine_test.go
+++ b/entry/proxy/quarantine_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	fx.judgeSuspects(now)
 }
 
+func breakOff(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
 // changeRoute replaces a route in the catalog.
 func (fx *fixture) changeRoute(name string, change func(*catalog.Route)) {
 	changed := *fx.catalog
@@ -67,3 +70,23 @@
 		})
 	}
 }
+
+// Guards against "not run" for a request that a quarantine ends after an attempt which may have run.
+func TestQuarantineAfterRunIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	var fx *fixture
+	var runs atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if runs.Add(1) == 1 {
+			breakOff(w, r)
+		}
+		fx.suspect(3, "POST", "/safe/x", "ab")
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	fx = newFixture(t, 0, handler, handler, handler)
+	fx.changeRoute("safe", func(r *catalog.Route) { r.MaxAttempts = 3 })
+	response, _ := fx.post("/safe/x", "ab", "key")
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(runs.Load(), int32(2))
+}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -57,6 +57,7 @@
 	service        ident.Service
 	rateTakenAt    time.Time   // when it was last counted against its workspace's allowance
 	mayHaveRun     bool        // an upstream ran it or may have run it since rateTakenAt
+	ran            bool        // an upstream ran it or may have run it
 	outliveStop    func() bool // keeps the final answers of a graceful shutdown from ending the attempt
 	suspicion      suspicion
 }
