entry/forward: a response that stops within its status line is no response

An upstream that stopped in the reason phrase of one response and then wrote another on the same connection was read as one response: the status of the first with the fields and body of the second. Callers could get an upstream's failure as a success, or its success as a failure. Cause: only the values of header fields were searched for the status line of another response. TestResponseThatStopsInItsStatusLineIsNoResponse failed before, for each place within the reason phrase; it passes now, with -race.

--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -231,7 +231,7 @@
 		if err != nil {
 			return x.failWith(err)
 		}
-		if containsStatusLine(response.Header) {
+		if containsStatusLine(response) {
 			return x.failWith(errors.New("response's head contains the head of another response"))
 		}
 		if !x.isOwnResponse(response) {
--- a/entry/forward/identity.go
+++ b/entry/forward/identity.go
@@ -50,10 +50,13 @@
 	return id == "" || !c.carried.contains(id)
 }
 
-// containsStatusLine reports whether the value of a header field contains the status line of a response, as where an
-// upstream writes one response into the head of another.
-func containsStatusLine(h http.Header) bool {
-	for _, values := range h {
+// containsStatusLine reports whether the reason phrase or the value of a header field contains the status line of a
+// response, as where an upstream writes one response into the head of another.
+func containsStatusLine(r *http.Response) bool {
+	if hasStatusLine(r.Status) {
+		return true
+	}
+	for _, values := range r.Header {
 		for _, v := range values {
 			if hasStatusLine(v) {
 				return true
