entry/gateway: a connection that ends without an answer is not read on

A request whose head was still arriving when the server closed (end of the grace period) or its header timeout passed was read to its end and got no answer: the close ended the sending side and discarded what came for a second, although there was no response on its way to protect. After Server.Close the server's own pending read could get these bytes as well. Callers see an end without an answer to a request that was read, so they may not repeat it. Now only a connection on which bytes of the response were written is read on; the others are closed at once, and the host resets what comes later.

--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -41,6 +41,7 @@
 
 	begunAt   atomic.Int64 // when the first byte of the request was received, in nanoseconds of Unix time
 	headRead  atomic.Bool  // the head of the request was read
+	answering atomic.Bool  // bytes of the response were written
 	breaksOff atomic.Bool  // Close resets the connection
 
 	deadlineMu   sync.Mutex
@@ -174,16 +175,23 @@
 	return unread, disconnected || err != nil
 }
 
-// Close implements net.Conn. A connection that is closed during a request may still receive the
+// Write implements net.Conn.
+func (c *callerConn) Write(b []byte) (int, error) {
+	c.answering.Store(true)
+	return c.TCPConn.Write(b)
+}
+
+// Close implements net.Conn. A connection that is closed during a response may still receive the
 // request's body. Those bytes are discarded for lingerTimeout, because they would otherwise cause a
-// reset that could destroy the response on its way to the client.
+// reset that could destroy the response on its way to the client. A request without a response is not
+// read on: the reset tells the client that it was not read.
 func (c *callerConn) Close() error {
 	if c.breaksOff.Load() {
 		_ = c.TCPConn.SetLinger(0) // fails only if the connection is already closed
 		c.state.Store(connClosed)
 		return c.closeSocket()
 	}
-	if c.state.Swap(connClosed) != connActive || c.TCPConn.CloseWrite() != nil {
+	if c.state.Swap(connClosed) != connActive || !c.answering.Load() || c.TCPConn.CloseWrite() != nil {
 		return c.closeSocket()
 	}
 	if err := c.TCPConn.SetReadDeadline(c.listener.now().Add(lingerTimeout)); err != nil {
@@ -240,6 +248,7 @@
 		c.idleSince.Store(now)
 		c.begunAt.Store(now)
 		c.headRead.Store(false)
+		c.answering.Store(false)
 		if c.nextRequestBegun.Swap(false) {
 			c.requests.Add(1)
 			return
