entry/gateway: a long head leaves its connection idle after its answer

A connection whose request line is over 4 KiB long could count as busy for ever after its answer: it was not closed as idle or to make room, and a graceful shutdown waited for it until its end and then took in what came. Cause: a read of one byte is taken for the server's check for a disconnect, whose byte begins the next request; with 4095 bytes of a line in the server's buffer the next read of the head is of one byte as well. Such a read counts only once the head was read.

--- a/entry/gateway/conn.go
+++ b/entry/gateway/conn.go
@@ -62,7 +62,7 @@
 		if n > 0 {
 			if c.begin() {
 				c.requests.Add(1)
-			} else if n == 1 && len(b) == 1 {
+			} else if n == 1 && len(b) == 1 && c.headRead.Load() {
 				// After a request's body the server reads one byte to detect a disconnect. A byte
 				// that arrives belongs to the next request.
 				c.nextRequestBegun.Store(true)
--- a/entry/gateway/unanswered_test.go
+++ b/entry/gateway/unanswered_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -62,3 +63,32 @@
 		}
 	}
 }
+
+// Guards against a connection that counts as busy without a request, and whose next request a shutdown then reads and
+// drops, because the server's buffer had room for one byte of a long head.
+func TestLongHeadLeavesItsConnectionIdle(t *testing.T) {
+	is := is.New(t)
+	l, err := Listen(context.Background(), "127.0.0.1:0", time.Second)
+	is.NoErr(err)
+	server := NewHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = client.Close() }()
+	is.NoErr(client.SetDeadline(time.Now().Add(5 * time.Second)))
+	const serverBuffer = 4 << 10
+	head := "GET /" + strings.Repeat("a", serverBuffer) + " HTTP/1.1\r\nHost: x\r\n\r\n"
+	_, err = io.WriteString(client, head[:serverBuffer-1])
+	is.NoErr(err)
+	for deadline := time.Now().Add(2 * time.Second); l.connsIn(connActive) == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the server must read the first bytes
+	}
+	_, err = io.WriteString(client, head[serverBuffer-1:])
+	is.NoErr(err)
+	_, err = client.Read(make([]byte, 1<<10))
+	is.NoErr(err)
+	for deadline := time.Now().Add(2 * time.Second); l.connsIn(connIdle) == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the connection must count as idle
+	}
+}
