entry/proxy: a refusal after a run promises nothing

What callers saw: 503 or 429, which promise that a request did not run, for an idempotent request whose first attempt had broken at an upstream and whose second one was not executed, found no connection or exceeded the rate. Cause: the answer was that of the last attempt alone; mended one of its ways. Change: where a request is refused, any earlier run turns the status into 502.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -46,9 +46,6 @@
 			return c.finish(last, c.refuseAtEnd())
 		}
 		if refused := c.passQuarantine(); refused != nil {
-			if c.ran && last.failureResponse == nil {
-				return &refusal{status: http.StatusBadGateway, reason: refused.reason, details: refused.details}
-			}
 			return c.finish(last, refused)
 		}
 		if refused := c.renewRate(); refused != nil {
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -145,3 +146,20 @@
 	is.Equal(response.StatusCode, http.StatusBadGateway)
 	is.Equal(fx.upstreamRequests.Load(), int32(1))
 }
+
+// Guards against "not run" for a request whose last attempt did not run, but an earlier one may have.
+func TestRefusalAfterRunIsNoPromise(t *testing.T) {
+	is := is.New(t)
+	var attempts atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if attempts.Add(1) == 1 {
+			breakOff(w, r)
+		}
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	fx := newFixture(t, 0, handler, handler)
+	response, _ := fx.post("/safe/x", "ab", "key")
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.Equal(attempts.Load(), int32(2))
+}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -14,6 +14,7 @@
 
 	"cuminfall.example/entry/admission"
 	"cuminfall.example/entry/balancer"
+	"cuminfall.example/entry/forward"
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/registry"
@@ -214,6 +215,9 @@
 func (c *call) refuse(refused *refusal) {
 	p := c.proxy
 	c.refundRate()
+	if c.ran && forward.PromisesNotExecuted(refused.status) {
+		refused.status = http.StatusBadGateway
+	}
 	p.metrics.refused.Inc(1)
 	event := "refused"
 	if refused.status == http.StatusBadGateway || refused.status == http.StatusGatewayTimeout {
