entry/forward, control: a send is checked once more, and response heads are reported as they are read

Cause: what an upstream says of itself in a response (that it leaves, that it wants no requests for a time) was read nowhere, and a request that had been chosen for it before was sent after it had waited for a connection. Change: Request.BeforeSend decides right before the first byte; a withheld request sends nothing and keeps its connection. Request.OnHead gets each head of this request, interim ones and those of exchanges that fail later included, and none of a crossed response. Control's plans leave out upstreams whose leaving is a shared fact.

--- a/control/coordinator/demand.go
+++ b/control/coordinator/demand.go
@@ -11,6 +11,7 @@
 	"cuminfall.example/control/regionbalance"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/object"
+	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/protocol"
 	"cuminfall.example/fleet/registry"
 )
@@ -63,7 +64,8 @@
 	return busy
 }
 
-// refreshUsable updates the usable upstreams and their slot capacity from the registry. The caller holds c.mu.
+// refreshUsable updates the usable upstreams and their slot capacity from the registry, without those that told a VM that
+// they leave. The caller holds c.mu.
 func (c *Coordinator) refreshUsable(now time.Time) {
 	c.usable, c.slotCapacity, c.usableUpdated = affinity.UsableUpstreams{}, regionbalance.SlotCapacity{}, now
 	c.opts.StateMachine.view(func(r *registry.Registry) {
@@ -73,7 +75,7 @@
 			}
 			region := c.opts.Regions[u.Domain]
 			list, slots := c.usable[u.Service][region], c.slotCapacity[u.Service][region]
-			if u.State == registry.Ready && !r.Drained[u.Domain] {
+			if u.State == registry.Ready && !r.Drained[u.Domain] && !c.observations.Has(now, observation.LeavingFact(u)) {
 				list, slots = append(list, u), slots+float64(u.Slots)
 			}
 			c.usable[u.Service][region], c.slotCapacity[u.Service][region] = list, slots // a region without usable upstreams has an entry too
--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -35,7 +35,7 @@
 	reader  *bufio.Reader
 	headBuf []byte // buffer in which a request's head is built
 
-	idleSince time.Time     // when the connection became idle
+	idleSince time.Time     // when the connection became idle; until its first use, when it was opened
 	keepAlive time.Duration // the upstream's idle timeout from its Keep-Alive header; 0 if it sent none
 
 	// State of the current exchange.
@@ -60,7 +60,7 @@
 		_ = tcp.Close()
 		return nil, errors.WithStack(err)
 	}
-	c := &conn{tcp: tcp, rawConn: raw, pool: p}
+	c := &conn{tcp: tcp, rawConn: raw, pool: p, idleSince: p.client.clock.Now()}
 	c.reader = bufio.NewReaderSize(c, 16<<10)
 	c.peek = func(fd uintptr) bool {
 		var b [1]byte
--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -35,6 +35,7 @@
 	identified        bool          // see Identified
 	complete          bool          // the response was read to its end
 	closed            bool
+	withheld          bool // nothing was sent, because Request.BeforeSend did not allow it
 }
 
 var uploadBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
@@ -108,6 +109,12 @@
 			body = nil
 		}
 	}
+	if r.BeforeSend != nil {
+		if err := r.BeforeSend(); err != nil {
+			x.withheld = true
+			return newFailure(Withheld, false, r.Endpoint, fault.Unreachable, err.Error())
+		}
+	}
 	x.finalWriteStarted.Store(r.Stream == nil && len(body) == 0)
 	if _, err := x.conn.Write(x.conn.headBuf); err != nil {
 		return x.failWith(err)
@@ -242,6 +249,9 @@
 			}
 			continue
 		}
+		if x.request.OnHead != nil {
+			x.request.OnHead(response.StatusCode, response.Header)
+		}
 		if response.StatusCode >= 200 {
 			x.Elapsed = x.conn.now().Sub(start)
 			return x.acceptResponse(response)
@@ -383,6 +393,18 @@
 	x.conn.closeAndRelease()
 }
 
+// release ends an exchange that sent nothing, and keeps its connection for other requests.
+func (x *Exchange) release() {
+	x.closed = true
+	contextLive := x.stopCancelHook()
+	x.conn.exchange = nil
+	if contextLive && x.cause.Load() == 0 && x.conn.isUsable() {
+		x.conn.pool.putBack(x.conn)
+		return
+	}
+	x.conn.closeAndRelease()
+}
+
 // waitForUpload waits until the upload goroutine has returned. It interrupts the upload unless the
 // whole request was sent.
 func (x *Exchange) waitForUpload() {
--- a/entry/forward/forward.go
+++ b/entry/forward/forward.go
@@ -103,6 +103,12 @@
 	MaxBody       int64         // largest allowed length of Stream in bytes; 0 means no limit
 	// Interrupt makes a pending Read of Stream fail. It is required with Stream.
 	Interrupt func()
+	// BeforeSend is called right before the first byte is written. If it returns an error, nothing is
+	// sent and Do fails with Withheld. Nil allows every send.
+	BeforeSend func() error
+	// OnHead is called with each response head of this request, interim ones included, even if the
+	// exchange fails afterwards. It must not modify the header.
+	OnHead func(status int, header http.Header)
 	// Throttle returns how long to wait before n more body bytes may be transferred, and 0 once
 	// they may. A positive maxBytes is the largest n that can ever be allowed. Nil means no limit.
 	// Two goroutines may call it at the same time.
@@ -121,6 +127,7 @@
 	Cancelled                          // the caller's context ended
 	UploadFailed                       // the caller's body could not be read to its end
 	BodyTooLarge                       // the caller's body is over the limit
+	Withheld                           // Request.BeforeSend did not allow the send
 )
 
 // Aborted reports whether this side ended the exchange. The upstream may then still run the
@@ -248,6 +255,10 @@
 	if err == nil {
 		return x, nil
 	}
+	if x.withheld {
+		x.release()
+		return nil, err
+	}
 	x.Close()
 	var f *Failure
 	if errors.As(err, &f) {
--- a/entry/forward/head.go
+++ b/entry/forward/head.go
@@ -14,6 +14,7 @@
 	ExecutionHeader       = "Cuminfall-Run"
 	TimeoutHeader         = "Request-Timeout"
 	AttemptIDHeader       = "Cuminfall-Request" // ID of the attempt; upstreams may echo it
+	LeavingHeader         = "Cuminfall-Leaving" // 1 in the responses of an upstream that leaves
 	defaultReservedPrefix = "Cuminfall-"
 )
 
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -181,9 +181,14 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// put makes a connection available to the next request.
+// put makes a connection that was used available to the next request.
 func (p *pool) put(c *conn) {
 	c.idleSince = p.client.clock.Now()
+	p.putBack(c)
+}
+
+// putBack makes a connection that was not used available to the next request.
+func (p *pool) putBack(c *conn) {
 	p.mu.Lock()
 	if p.retired || p.openCount > p.maxOpen {
 		p.mu.Unlock()
