entry/proxy: upstreams that leave or ask for quiet in a response get no new requests

Cause: a response changed an upstream's ranking only. Change: the balancer keeps for each run of an upstream whether it leaves and until when it is quiet, by a clock that counts suspensions of the VM. Both bind choices and, right before the send, requests that waited for a connection or a body. A leaving mark outlives a lost registration, is shared as a fact with all VMs, and ends with the run. If all upstreams of a service are quiet, requests are refused at once with the earliest return. Log lines "leaving" and "quiet", counters front.leaving, front.quiet and front.withheld, gauges upstreams.leaving and upstreams.quiet.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -65,6 +65,7 @@
 
 // Balancer tracks the upstreams and chooses one for each request. It is not safe for concurrent use.
 type Balancer struct {
+	VM      ident.VM     // this VM
 	Domain  ident.Domain // the failure domain of this VM
 	Regions map[ident.Domain]ident.Region
 	Costs   Costs
@@ -74,6 +75,7 @@
 	assignments   protocol.Assignments // from the leader
 	utilization   protocol.Utilization // last reported by the leader
 	utilizationAt time.Time
+	departed      map[registry.UpstreamID]departedNotice
 }
 
 // service holds the upstreams of one service and the mean service times of its requests.
@@ -104,6 +106,7 @@
 // upstream is a registered upstream with what this VM has learned about it.
 type upstream struct {
 	registry.Upstream
+	notice
 	distance          Distance
 	seed              object.Seed // for rendezvous hashing
 	inFlight          int         // requests of this VM without a response
@@ -126,7 +129,11 @@
 	for id, latest := range registered {
 		u := previous[id]
 		if u == nil || u.StartedAt != latest.StartedAt || u.Address != latest.Address {
-			u = &upstream{slowness: 1, seed: object.SeedOf(string(id)), coldExpiry: now.Add(latest.RemainingColdTime)}
+			next := &upstream{slowness: 1, seed: object.SeedOf(string(id)), coldExpiry: now.Add(latest.RemainingColdTime)}
+			if u != nil && u.Address == latest.Address {
+				next.notice = u.forNextRun()
+			}
+			u = next
 		} else if latest.Sequence != u.Sequence {
 			u.coldExpiry = now.Add(latest.RemainingColdTime)
 			if latest.RemainingColdTime == 0 && u.failures > 0 && now.Sub(u.failuresUpdatedAt) > failureBackoff {
@@ -149,6 +156,7 @@
 		slices.SortFunc(s.upstreams, func(a, b *upstream) int { return strings.Compare(string(a.ID), string(b.ID)) }) // so that all VMs break ties the same way
 	}
 	b.services = services
+	b.keepNotices(now, previous)
 }
 
 // distance returns the distance between this VM and a failure domain.
@@ -171,6 +179,7 @@
 	SpreadKey        string                 // hashed in place of Object if that is empty
 	AllowOutOfRegion bool                   // high load may move the request out of the region that RegionWeights gives
 	MaxWait          time.Duration          // longest acceptable wait at one upstream while its region has free slots; 0 for any
+	LeaseNow         time.Time              // current time by a clock that counts suspensions of the VM, for quiet spans
 	AllowedRegions   []ident.Region         // empty means all
 	DrainedDomains   map[ident.Domain]bool
 	Tried            []registry.UpstreamID // upstreams of earlier attempts, which are not chosen again
@@ -214,8 +223,10 @@
 	pref := b.preference(now, s, q)
 	var best Choice
 	var bestCost time.Duration
+	quietInRegion := false
 	for _, u := range s.upstreams {
 		if !b.usable(now, u, q) {
+			quietInRegion = quietInRegion || u.isQuiet(q.LeaseNow) && u.mayServe(b, q) && b.Regions[u.Domain] == pref.region
 			continue
 		}
 		c, cost := b.estimate(now, s, u, q, pref)
@@ -229,6 +240,9 @@
 			best, bestCost = c, cost
 		}
 	}
+	if best.OutOfRegion && !q.AllowOutOfRegion && quietInRegion {
+		return Choice{}, false // requests must not move to another region together whenever all upstreams of one are quiet
+	}
 	return best, best.Upstream.ID != ""
 }
 
@@ -238,7 +252,7 @@
 
 // usable reports whether the request may be sent to an upstream in this attempt.
 func (b *Balancer) usable(now time.Time, u *upstream, q *Query) bool {
-	if !u.mayServe(b, q) {
+	if !u.mayServe(b, q) || u.isQuiet(q.LeaseNow) {
 		return false
 	}
 	for _, t := range q.Tried {
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -132,7 +132,7 @@
 	cold := b.services["s"].coldTime
 	for i := range 200 {
 		c := choose(t, b, now, Query{Object: fmt.Sprint(i)})
-		b.RequestSent(c.Upstream.ID)
+		b.RequestSent(now, c.Upstream.ID)
 		b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: c.Upstream.ID, Object: fmt.Sprint(i), ObjectWarm: c.ObjectWarm, Elapsed: 270 * time.Millisecond, Load: -1})
 	}
 	is.Equal(b.services["s"].coldTime, cold)
@@ -145,7 +145,7 @@
 	now := time.Unix(1000, 0)
 	b := newTestBalancer(now, 1)
 	first := choose(t, b, now, Query{Object: "x"}).Upstream
-	b.RequestSent(first.ID)
+	b.RequestSent(now, first.ID)
 	b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: first.ID, Object: "x", Outcome: ConnectFailed, Load: -1})
 	is.True(choose(t, b, now, Query{Object: "x"}).Upstream.ID != first.ID)
 	now = now.Add(time.Minute)
@@ -181,7 +181,7 @@
 	s := b.services["s"]
 	cold, warm := s.coldTime, s.warmTime
 	for range 20 {
-		b.RequestSent("a1-0")
+		b.RequestSent(now, "a1-0")
 		b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: "a1-0", Elapsed: time.Millisecond, Load: 0})
 	}
 	is.Equal(s.coldTime, cold)
@@ -198,7 +198,7 @@
 	b := newTestBalancer(now, 1)
 	for _, object := range []string{"", "x"} {
 		for range 40 {
-			b.RequestSent("a1-0")
+			b.RequestSent(now, "a1-0")
 			b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: "a1-0", Object: object, ObjectWarm: true, Elapsed: 5 * time.Second, Load: 0})
 		}
 	}
@@ -230,11 +230,11 @@
 	now := time.Unix(1000, 0)
 	b := newTestBalancer(now, 1)
 	u := b.upstreams["a1-0"]
-	b.RequestSent("a1-0")
+	b.RequestSent(now, "a1-0")
 	b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: "a1-0", Elapsed: time.Second, Load: 7})
 	is.Equal(u.estimatedLoad(now, b.services["s"]), 7)
 	is.Equal(u.estimatedLoad(now.Add(3*time.Second), b.services["s"]), 7)
-	b.RequestSent("a1-0")
+	b.RequestSent(now, "a1-0")
 	is.Equal(u.estimatedLoad(now.Add(3*time.Second), b.services["s"]), 8)
 }
 
@@ -246,7 +246,7 @@
 	now := time.Unix(1000, 0)
 	b := newTestBalancer(now, 1)
 	u, s := b.upstreams["a1-0"], b.services["s"]
-	b.RequestSent("a1-0")
+	b.RequestSent(now, "a1-0")
 	b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: "a1-0", Elapsed: time.Second, Load: 17})
 	is.Equal(u.estimatedLoad(now.Add(2*time.Second), s), 17)
 	b.SetReportedLoads(now.Add(-time.Second), nil, nil, nil) // older than the upstream's own report
@@ -263,7 +263,7 @@
 	now := time.Unix(1000, 0)
 	b := newTestBalancer(now, 1)
 	answer := func(warm bool, elapsed time.Duration) {
-		b.RequestSent("a1-0")
+		b.RequestSent(now, "a1-0")
 		b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: "a1-0", Object: "x", ObjectWarm: warm, Elapsed: elapsed, Load: 0})
 		now = now.Add(100 * time.Millisecond)
 	}
--- a/entry/balancer/outcome.go
+++ b/entry/balancer/outcome.go
@@ -19,11 +19,12 @@
 	Broken                       // no response or an incomplete one
 	ConnectFailed                // no connection could be established
 	Abandoned                    // aborted by this VM or the caller
+	Withheld                     // not sent, because the upstream became restricted after it was chosen
 )
 
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
-	return [...]string{"answered", "shed", "failed", "broken", "unreached", "abandoned"}[o]
+	return [...]string{"answered", "shed", "failed", "broken", "unreached", "abandoned", "withheld"}[o]
 }
 
 // AttemptResult describes an attempt that has ended.
@@ -34,6 +35,7 @@
 	ObjectWarm bool // as in the Choice
 	Outcome    Outcome
 	Elapsed    time.Duration // from sending to the response, less the round trip and the expected wait
+	LeaseNow   time.Time     // as in the Query
 	Load       int           // running and waiting requests that the upstream reported; -1 if it did not
 }
 
@@ -80,9 +82,10 @@
 }
 
 // RequestSent records that an attempt has begun. RequestEnded must follow.
-func (b *Balancer) RequestSent(id registry.UpstreamID) {
+func (b *Balancer) RequestSent(leaseNow time.Time, id registry.UpstreamID) {
 	if u := b.upstreams[id]; u != nil {
 		u.inFlight++
+		u.requestSent(leaseNow)
 	}
 }
 
@@ -93,6 +96,7 @@
 		return
 	}
 	u.inFlight = max(0, u.inFlight-1)
+	u.requestEnded(r.LeaseNow, r.Outcome)
 	if r.Load >= 0 {
 		u.recordReportedLoad(now, r.Load)
 	}
@@ -114,7 +118,7 @@
 			// It may have restarted, and is then cold before it announces itself again.
 			u.coldExpiry = now.Add(failureBackoff)
 		}
-	case Abandoned:
+	case Abandoned, Withheld:
 	}
 }
 
--- a/entry/balancer/preference.go
+++ b/entry/balancer/preference.go
@@ -111,7 +111,7 @@
 
 // mayServe reports whether an upstream's state, domain and region allow it to get the request.
 func (u *upstream) mayServe(b *Balancer, q *Query) bool {
-	return u.State == registry.Ready && !q.DrainedDomains[u.Domain] && regionAllowed(q.AllowedRegions, b.Regions[u.Domain])
+	return u.State == registry.Ready && !u.leaving && !q.DrainedDomains[u.Domain] && regionAllowed(q.AllowedRegions, b.Regions[u.Domain])
 }
 
 // targetRegion returns the region for a request by the region weights. A small change of the weights moves few objects
--- a/entry/balancer/simulation_test.go
+++ b/entry/balancer/simulation_test.go
@@ -82,7 +82,7 @@
 			total.refused++
 			continue
 		}
-		b.RequestSent(c.Upstream.ID)
+		b.RequestSent(now, c.Upstream.ID)
 		u := simulated[c.Upstream.ID]
 		slot := 0
 		for i, at := range u.slotFreeAt {
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -61,9 +61,10 @@
 		if last.answered {
 			return nil
 		}
-		if last.mayHaveArrived {
+		switch {
+		case last.mayHaveArrived:
 			sends++
-		} else {
+		case !last.withheld:
 			connectFailures++
 		}
 		if !last.retryable || last.mayHaveArrived && !c.mayRetrySuspect(last) || connectFailures >= maxConnectFailures || last.mayHaveArrived && !c.takeRetry(sends) {
@@ -99,10 +100,15 @@
 		c.writeResponse(last.failureResponse.status, last.failureResponse.header, len(body), bytes.NewReader(body))
 		return nil
 	}
-	if last.refusal != nil {
-		return last.refusal
+	if last.refusal == nil {
+		return refused
+	}
+	if last.refusal.status == http.StatusServiceUnavailable {
+		if quiet := c.quietRefusal(); quiet != nil {
+			return quiet
+		}
 	}
-	return refused
+	return last.refusal
 }
 
 // bufferedResponse is an upstream's response that was read completely.
@@ -118,6 +124,7 @@
 	failureResponse *bufferedResponse // the upstream's error response, sent to the caller if no other attempt follows
 	refusal         *refusal          // sent to the caller if no other attempt follows and there is no failureResponse
 	retryable       bool              // the request may be sent to another upstream
+	withheld        bool              // the upstream left or asked for quiet while the request waited for a connection
 	mayHaveArrived  bool              // the upstream received the request or may have received it
 	mayHaveRun      bool              // the upstream ran the request or may have run it
 	crashed         bool              // the upstream's process ended while it had the request
@@ -138,6 +145,9 @@
 		request.Body, request.Stream, request.Length, request.Interrupt = nil, c.upload.newReader(), int64(c.bodySize), c.upload.interrupt
 		defer c.upload.restoreDeadline()
 	}
+	var info ResponseInfo
+	request.OnHead = func(status int, header http.Header) { info = c.readHead(upstream, status, header) }
+	request.BeforeSend = func() error { return c.proxy.checkRestriction(upstream) }
 	ctx, release := c.endWithStop()
 	defer release()
 	exchange, err := c.proxy.opts.Forward.Do(ctx, request)
@@ -145,7 +155,6 @@
 		return c.handleFailure(choice, startedAt, err)
 	}
 	defer exchange.Close()
-	info := c.proxy.opts.WireFormat.ParseResponse(exchange.Status, exchange.Header)
 	if info.NotExecuted && isRefusal(exchange) {
 		c.recordAttempt(choice, balancer.Shed, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
 		return attemptResult{retryable: true, mayHaveArrived: true, refusal: &refusal{status: http.StatusServiceUnavailable,
@@ -184,6 +193,10 @@
 				return attemptResult{refusal: c.refuseAtEnd()}
 			}
 			return attemptResult{mayHaveArrived: true, mayHaveRun: true, refusal: &refusal{status: http.StatusGatewayTimeout, reason: "the upstream did not answer before the end of this VM's shutdown"}}
+		case failure.Reason == forward.Withheld:
+			c.proxy.metrics.withheld.Inc(1)
+			c.recordAttempt(choice, balancer.Withheld, elapsed, -1)
+			return attemptResult{retryable: true, withheld: true, refusal: &refusal{status: http.StatusServiceUnavailable, reason: failure.Error(), retryAfter: minRetryAfter}}
 		case failure.Reason == forward.Cancelled:
 			c.recordAttempt(choice, balancer.Abandoned, elapsed, -1)
 			panic(http.ErrAbortHandler)
--- a/entry/proxy/earlyanswer_test.go
+++ b/entry/proxy/earlyanswer_test.go
@@ -127,7 +127,7 @@
 		_, _ = io.WriteString(w, strings.Repeat("x", len(received)/1024))
 	}
 	fx := newFixture(t, 0, refuseFirst, refuseFirst)
-	fx.balancer.RequestSent("u1") // makes u0 the better choice
+	fx.balancer.RequestSent(time.Now(), "u1") // makes u0 the better choice
 	reader, writer := io.Pipe()
 	go func() {
 		_, _ = writer.Write(make([]byte, halfBody))
--- a/entry/proxy/observe.go
+++ b/entry/proxy/observe.go
@@ -39,4 +39,7 @@
 func (p *Proxy) handleObservation(o observation.Observation, source string) {
 	p.opts.Log.Event(logrus.InfoLevel, "observed", logrus.Fields{"event": "observed", "kind": o.Kind, "subject": o.Subject, "upstream": o.Upstream,
 		"born": o.StartedAt, "of": o.VM, "round": o.Round, "age": o.Age.String(), "left": o.Left.String(), "source": source}, "fact about the traffic learned")
+	if o.Kind == observation.Leaving {
+		p.applyLeaving(o.Fact)
+	}
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -33,9 +33,12 @@
 
 // ResponseInfo holds the values that a WireFormat reads from an upstream's response.
 type ResponseInfo struct {
-	NotExecuted bool // the upstream did not run the request
-	Authentic   bool // the response is marked as the upstream's own
-	Load        int  // running and waiting requests at the upstream; -1 if not reported
+	NotExecuted bool          // the upstream did not run the request
+	Authentic   bool          // the response is marked as the upstream's own
+	Load        int           // running and waiting requests at the upstream; -1 if not reported
+	Leaving     bool          // the upstream leaves and wants no new requests
+	QuietFor    time.Duration // the upstream wants no requests of this VM for so long; 0 if it asked for no such span
+	QuietErr    error         // why QuietFor replaces the span that the upstream gave
 }
 
 // WireFormat reads the headers by which a deployment's callers and upstreams exchange data with the proxy.
@@ -121,9 +124,10 @@
 	p.suspects = newSuspects()
 	p.rateLimiter.RequireFullReport()
 	p.startedAt = o.LeaseClock.Now()
-	p.balancer = balancer.Balancer{Domain: o.VM.Domain, Regions: o.Regions, Costs: o.Costs}
+	p.balancer = balancer.Balancer{VM: o.VM.Name, Domain: o.VM.Domain, Regions: o.Regions, Costs: o.Costs}
 	p.retryBudget.Bounds, p.coldLimiter.Bounds, p.rateLimiter.Bounds = o.Bounds, o.Bounds, o.Bounds
 	p.retryBudget.VMs = assumedVMs
+	p.registerGauges()
 	return p
 }
 
@@ -151,6 +155,7 @@
 	if p.upstreamsIndex != current.ChangedIndex || p.upstreamsIndex == 0 {
 		p.upstreamsIndex = current.ChangedIndex
 		p.balancer.SetUpstreams(now, current.Upstreams)
+		p.applyAllLeaving()
 	}
 	endpoints := make([]forward.Endpoint, 0, len(current.Upstreams))
 	for id, u := range current.Upstreams {
@@ -225,6 +230,7 @@
 // requestMetrics holds the counters and histograms of the group "front"; the histograms are in microseconds.
 type requestMetrics struct {
 	requests, answered, refused, limited, retried, broken metrics.Counter
+	leaving, quiet, withheld                              metrics.Counter
 	totalTime, upstreamTime                               metrics.Histogram
 	crashes, quarantineRefused, probes                    metrics.Counter // requests at crashed upstreams, refused requests, probes
 	suspectRequests, quarantinedRequests, observations    metrics.Gauge
@@ -244,6 +250,7 @@
 	}
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("front."+name, registry) }
 	return requestMetrics{counter("requests"), counter("answered"), counter("refused"), counter("limited"), counter("retried"), counter("broken"),
+		counter("leaving"), counter("quiet"), counter("withheld"),
 		histogram("total"), histogram("upstream"), counter("crashes"), counter("quarantine.refused"), counter("quarantine.probes"),
 		gauge("quarantine.suspects"), gauge("quarantine.held"), gauge("observations")}
 }
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -33,8 +33,12 @@
 			ms, err := strconv.Atoi(r.Header.Get("X-Left"))
 			return Caller{RequestID: r.Header.Get("X-Id"), Key: r.Header.Get("Authorization"), Remaining: time.Duration(ms) * time.Millisecond, Object: "o"}, err
 		},
-		ParseResponse: func(_ int, h http.Header) ResponseInfo {
-			return ResponseInfo{NotExecuted: h.Get("X-Not-Run") != "", Authentic: h.Get("X-Stamp") != "", Load: -1}
+		ParseResponse: func(status int, h http.Header) ResponseInfo {
+			info := ResponseInfo{NotExecuted: h.Get("X-Not-Run") != "", Authentic: h.Get("X-Stamp") != "", Load: -1, Leaving: h.Get("X-Leaving") != ""}
+			if status == http.StatusServiceUnavailable {
+				info.QuietFor, info.QuietErr = forward.QuietSpan(h, time.Now())
+			}
+			return info
 		},
 	}
 }
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -278,21 +278,17 @@
 		c.service = p.chooseService(c.route)
 		p.retryBudget.AddRequest(now, c.service)
 	}
-	service := p.table.Service(c.service)
 	request := admission.Request{LatencyTarget: c.route.LatencyTarget, Remaining: c.deadline.Sub(now), Elapsed: now.Sub(c.startedAt), Priority: c.priority, BestLatency: p.balancer.BestServiceTime(now, c.service, c.affinityObject() != ""), HasFreeSlots: true}
-	query := &balancer.Query{
-		Service: c.service, Object: c.affinityObject(), SpreadKey: c.caller.RequestID, RegionWeights: p.regionWeights[c.service], AllowOutOfRegion: p.allowsOutOfRegion(), Bytes: c.bodySize, AllowedRegions: c.allowedRegions, DrainedDomains: p.drainedDomains, Tried: tried,
-		MaxWait: admission.MaxWait(request),
-		AdmitsCold: func(upstream registry.Upstream) bool {
-			return upstream.Domain == p.opts.VM.Domain && p.coldLimiter.Admits(now, upstream.ID, service.ColdRate, p.domainVMs+1)
-		},
-		MayBeCold: func(domain ident.Domain) bool { return now.Sub(p.drainEndedAt[domain]) < service.ColdStart },
-	}
+	query := c.newQuery(now)
+	query.Tried, query.MaxWait = tried, admission.MaxWait(request)
 	if firstAttempt {
 		p.countDemand(query)
 	}
 	choice, ok := p.balancer.Choose(now, query)
 	if !ok {
+		if quiet := c.quietRefusalFor(query); quiet != nil {
+			return choice, quiet
+		}
 		return choice, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream is available for this request", retryAfter: maxRetryAfter / 4}
 	}
 	request.ExpectedWait, request.ExpectedLatency, request.BestLatency, request.HasFreeSlots = choice.ExpectedWait, choice.ExpectedLatency, choice.BestLatency, choice.HasFreeSlots
@@ -302,7 +298,7 @@
 	if refused := c.refuseLate(now, choice.ExpectedLatency); refused != nil {
 		return choice, refused
 	}
-	p.balancer.RequestSent(choice.Upstream.ID)
+	p.balancer.RequestSent(query.LeaseNow, choice.Upstream.ID)
 	p.sends.Add(p.opts.LeaseClock.Now(), 1)
 	if choice.OutOfRegion {
 		p.outOfRegionSends.Add(p.opts.LeaseClock.Now(), 1)
@@ -313,6 +309,19 @@
 	return choice, nil
 }
 
+// newQuery returns the balancer's query for the request, without what differs between its attempts; p.mu is held.
+func (c *call) newQuery(now time.Time) *balancer.Query {
+	p := c.proxy
+	service := p.table.Service(c.service)
+	return &balancer.Query{
+		Service: c.service, Object: c.affinityObject(), SpreadKey: c.caller.RequestID, RegionWeights: p.regionWeights[c.service], AllowOutOfRegion: p.allowsOutOfRegion(), Bytes: c.bodySize, LeaseNow: p.opts.LeaseClock.Now(), AllowedRegions: c.allowedRegions, DrainedDomains: p.drainedDomains,
+		AdmitsCold: func(upstream registry.Upstream) bool {
+			return upstream.Domain == p.opts.VM.Domain && p.coldLimiter.Admits(now, upstream.ID, service.ColdRate, p.domainVMs+1)
+		},
+		MayBeCold: func(domain ident.Domain) bool { return now.Sub(p.drainEndedAt[domain]) < service.ColdStart },
+	}
+}
+
 // maxOutOfRegionShare bounds the share of requests that leave the region given by the region weights because of load.
 // Together with the changes of the weights it stays below the share of 0.15 that operators allow to change regions
 // within 2 s.
@@ -356,7 +365,7 @@
 	elapsed -= p.opts.Costs.RoundTrip[choice.Distance] + choice.ExpectedWait
 	p.mu.Lock()
 	p.balancer.RequestEnded(p.opts.Clock.Now(), balancer.AttemptResult{Service: c.service, UpstreamID: choice.Upstream.ID, Object: c.affinityObject(),
-		ObjectWarm: choice.ObjectWarm, Outcome: outcome, Elapsed: elapsed, Load: load})
+		ObjectWarm: choice.ObjectWarm, Outcome: outcome, Elapsed: elapsed, LeaseNow: p.opts.LeaseClock.Now(), Load: load})
 	p.mu.Unlock()
 	p.metrics.upstreamTime.Update(elapsed.Microseconds())
 	fields := c.logFields("attempt")
