--- /dev/null
+++ b/entry/gateway/notice.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"cuminfall.example/entry/forward"
+	"cuminfall.example/entry/router"
+)
+
+// readHead passes on to the router what an upstream says about itself in the head of a response to an attempt.
+func (g *Gateway) readHead(send *router.Send, status int, header http.Header) {
+	notice := router.NoticeReceived{Endpoint: send.Endpoint, Incarnation: send.Incarnation, Leaving: header.Get(forward.LeavingHeader) == "1"}
+	now := g.Clock.Now()
+	var err error
+	if status == http.StatusServiceUnavailable {
+		notice.QuietFor, err = forward.QuietSpan(header, now)
+	}
+	if !notice.Leaving && notice.QuietFor == 0 && err == nil {
+		return
+	}
+	notice.At = now
+	g.mu.Lock()
+	before := g.Router.Stats()
+	g.step(&notice)
+	after := g.Router.Stats()
+	g.mu.Unlock()
+	if after.Leaving == before.Leaving && after.Quiet == before.Quiet && err == nil {
+		return
+	}
+	entry := g.Log.WithFields(logrus.Fields{"event": "notice", "upstream": send.Endpoint, "status": status, "leaving": notice.Leaving, "span": notice.QuietFor.String(),
+		"request": send.ID})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("upstream wants no requests")
+}
+
+// checkRestriction returns an error if the upstream of an attempt must not get a request now. It is called right before
+// the send.
+func (g *Gateway) checkRestriction(send *router.Send) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.Router.Restricted(g.Clock.Now(), send.Endpoint, send.Incarnation) {
+		return errors.Errorf("upstream %s leaves or asked for a pause", send.Endpoint)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/gateway/notice_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against new work for an upstream that said in a response that it leaves or wants no requests.
+func TestWithdrawnUpstreamGetsNoRequests(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		upstream *recordingUpstream
+		status   int
+		minQuiet float64
+	}{
+		{"leaving", &recordingUpstream{body: "ok", fields: map[string]string{"Cuminfall-Leaving": "1"}}, 200, 0},
+		{"quiet", &recordingUpstream{status: 503, fields: map[string]string{"Cuminfall-Run": "not-run", "Retry-After": "30"}}, 503, 29},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newHarness(t, map[string]string{"forecast": c.upstream.start(t)}, 0)
+			response, _, err := b.do(b.request("GET", "/forecast/a", nil))
+			is.NoErr(err)
+			is.Equal(response.StatusCode, c.status)
+			is.Equal(response.Header.Get("Cuminfall-Leaving"), "")
+			r := b.request("GET", "/forecast/a", nil)
+			r.Header.Set("Request-Timeout", "400ms")
+			startedAt := time.Now()
+			response, _, err = b.do(r)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, 503)
+			is.Equal(response.Header.Get("Cuminfall-Run"), "not-run")
+			is.Equal(c.upstream.runCount(), 1)
+			if c.minQuiet > 0 {
+				is.True(time.Since(startedAt) < 300*time.Millisecond) // refused at once
+				after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				is.NoErr(err)
+				is.True(after > c.minQuiet)
+			}
+		})
+	}
+}
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -150,6 +150,9 @@
 			return true
 		}
 	}
+	send := c.send
+	q.OnHead = func(status int, header http.Header) { g.readHead(&send, status, header) }
+	q.BeforeSend = func() error { return g.checkRestriction(&send) }
 	sendStart := g.Clock.Now()
 	x, err := g.Forward.Do(ctx, q)
 	c.upstreamTime += g.Clock.Now().Sub(sendStart)
@@ -212,10 +215,13 @@
 		g.refuse(c, f.Fault)
 		return true
 	}
-	if f.Sent {
+	switch {
+	case f.Reason == forward.Withheld:
+		g.endAttempt(c, router.Withheld, 0)
+	case f.Sent:
 		c.reusedConn = f.Reused
 		g.endAttempt(c, router.Broken, 0)
-	} else {
+	default:
 		g.endAttempt(c, router.NotSent, 0)
 	}
 	return false
@@ -260,6 +266,7 @@
 		h[name] = values
 	}
 	delete(h, forward.ExecutionHeader)
+	delete(h, forward.LeavingHeader)
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps net/http from guessing a type
 	}
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"time"
 
@@ -59,6 +60,9 @@
 	if routed {
 		h[forward.ExecutionHeader] = []string{string(f.Execution)}
 	}
+	if f.RetryAfter > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 3, 64)}
+	}
 	w.WriteHeader(f.Code.HTTPStatus())
 	// An error here means that the client has disconnected.
 	_ = json.NewEncoder(w).Encode(f)
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -34,6 +34,9 @@
 	}
 	e, moved := r.chooseEndpoint(q)
 	if e == nil {
+		if f := r.pauseRefusal(q); f != nil {
+			return started, r.refuse(q, f, out)
+		}
 		if q.attempt > 0 {
 			return noUntriedSlot, out
 		}
@@ -124,7 +127,7 @@
 	first := min(s.firstCandidate, len(s.endpoints))
 	for _, candidates := range [2][]*endpoint{s.endpoints[first:], s.endpoints[:first]} {
 		for _, e := range candidates {
-			if !e.hasCapacity() || q.excludes(e) || target != nil && !target.movesTo(e) {
+			if !e.hasCapacity() || e.notice.restricts(r.now) || q.excludes(e) || target != nil && !target.movesTo(e) {
 				continue
 			}
 			if key := e.sortKey(r.now, lowestKey); key < lowestKey {
@@ -183,6 +186,9 @@
 	case Truncated:
 		upstream.failures.add(r.now, 1)
 		out = r.finish(q, true, out)
+	case Withheld:
+		r.stats.Withheld++
+		out = r.handleNotExecuted(q, upstream, e, fault.Busy, out)
 	case NotSent:
 		upstream.failures.add(r.now, 1)
 		out = r.handleNotExecuted(q, upstream, e, fault.Unreachable, out)
@@ -205,9 +211,15 @@
 		r.enqueue(q)
 		return out
 	}
+	if f := r.pauseRefusal(q); f != nil {
+		return r.refuse(q, f, out)
+	}
 	message := "upstream could not be reached"
-	if e.Outcome == Shed {
+	switch e.Outcome {
+	case Shed:
 		message = "upstream is overloaded and refused the request"
+	case Withheld:
+		message = "upstream leaves or asked for a pause"
 	}
 	return r.refuse(q, notExecuted(code, "upstream", string(upstream.address), "%s", message), out)
 }
@@ -228,7 +240,7 @@
 // attempt before reached an upstream: it adds no load, and an endpoint that refuses
 // connections must not use up the retries of all requests.
 func (r *Router) chargeRetry(outcome Outcome) {
-	if outcome != NotSent {
+	if outcome != NotSent && outcome != Withheld {
 		r.retryBudget--
 	}
 }
@@ -237,11 +249,11 @@
 // which this VM has a share, or, if there is none, to the same endpoint after a
 // reused connection failed. An upstream that restarts breaks such connections.
 func (r *Router) mayRetry(q *request, e *AttemptEnded) bool {
-	if !e.Resendable || q.attempt >= maxAttempts || e.Outcome != NotSent && r.retryBudget < 1 || !r.now.Before(r.latestStart(q)) {
+	if !e.Resendable || q.attempt >= maxAttempts || e.Outcome != NotSent && e.Outcome != Withheld && r.retryBudget < 1 || !r.now.Before(r.latestStart(q)) {
 		return false
 	}
 	for _, other := range q.service.endpoints {
-		if other.slots.Share() > 0 && !q.triedAt(other) {
+		if other.slots.Share() > 0 && !other.notice.restricts(r.now) && !q.triedAt(other) {
 			return true
 		}
 	}
--- a/entry/router/endpoint.go
+++ b/entry/router/endpoint.go
@@ -27,7 +27,8 @@
 	service        ident.Service
 	domain         ident.Domain
 	incarnation    ident.Incarnation
-	leaving        bool
+	leaving        bool // control says so
+	notice         notice
 	suspected      bool
 	connLimited    bool // the number of connections is limited
 
--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -52,6 +52,7 @@
 	Broken                       // failed after a byte was sent and before a byte of a response was passed on
 	Truncated                    // failed after part of a response was passed on
 	Abandoned                    // the caller disconnected
+	Withheld                     // not sent, because the upstream left or asked for quiet after it was chosen
 )
 
 // AttemptEnded reports the end of the attempt that a Send effect began.
@@ -66,6 +67,15 @@
 	Elapsed    time.Duration // from sending to the first byte of the response; 0 if not measured
 }
 
+// NoticeReceived reports what an upstream said about itself in a response.
+type NoticeReceived struct {
+	At          time.Time
+	Endpoint    ident.Address
+	Incarnation ident.Incarnation // of the upstream that was asked
+	Leaving     bool              // it wants no new requests
+	QuietFor    time.Duration     // it wants no requests of this VM for so long; 0 if it asked for no such span
+}
+
 // TransferRequested asks whether bytes of a request's or a response's body may be
 // sent over the link between two regions.
 type TransferRequested struct {
@@ -97,6 +107,7 @@
 func (*RequestArrived) event()    {}
 func (*ClaimResult) event()       {}
 func (*AttemptEnded) event()      {}
+func (*NoticeReceived) event()    {}
 func (*TransferRequested) event() {}
 func (*RequestCancelled) event()  {}
 func (*Synced) event()            {}
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -98,6 +98,9 @@
 	case *AttemptEnded:
 		r.advance(e.At)
 		return r.handleAttemptEnd(e, out)
+	case *NoticeReceived:
+		r.advance(e.At)
+		return r.handleNotice(e, out)
 	case *TransferRequested:
 		r.advance(e.At)
 		return r.handleTransfer(e, out)
--- a/entry/router/stats.go
+++ b/entry/router/stats.go
@@ -21,6 +21,9 @@
 	Deadline   uint64
 	Upstream   uint64
 	Other      uint64
+	Leaving    uint64 // upstreams that said in a response that they leave
+	Quiet      uint64 // quiet spans that upstreams asked for
+	Withheld   uint64 // attempts that were not sent because the upstream had left or asked for quiet
 	Outdated   uint64 // parts of control's replies with a lower version than the one in use
 	Unreadable uint64 // configurations from control that could not be parsed
 }
--- a/entry/router/view.go
+++ b/entry/router/view.go
@@ -348,7 +348,7 @@
 	for _, u := range v.upstreams {
 		e := v.endpoint(ident.Address(u.Address))
 		if e.incarnation != ident.Incarnation(u.Incarnation) {
-			e.failures, e.responseMean, e.slowness = failureScore{}, logMean{}, slowness{}
+			e.failures, e.responseMean, e.slowness, e.notice = failureScore{}, logMean{}, slowness{}, notice{}
 		}
 		e.announced = true
 		e.service = ident.Service(u.Service)
--- a/fleet/fault/fault.go
+++ b/fleet/fault/fault.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
@@ -52,6 +53,8 @@
 	Peer      string    `json:"peer"`
 	Message   string    `json:"message"`
 	Execution Execution `json:"run,omitempty"`
+	// RetryAfter is when the request can succeed, from now; 0 if that is not known.
+	RetryAfter time.Duration `json:"-"`
 }
 
 // New returns an error with a formatted message; peer may be empty.
--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -24,6 +24,7 @@
 	timeoutHeader     = "Request-Timeout"
 	idempotencyHeader = "Idempotency-Key"
 	requestIDHeader   = "Cuminfall-Request" // copied from the request to the response
+	leavingHeader     = "Cuminfall-Leaving" // set in all responses after Leave
 )
 
 // ServeHTTP implements http.Handler.
@@ -38,6 +39,7 @@
 	if id := r.Header.Get(requestIDHeader); id != "" {
 		w.Header().Set(requestIDHeader, id)
 	}
+	e.markLeaving(w.Header())
 	ctx, cancel := e.requestContext(r)
 	defer cancel()
 	delay := e.latencyTo(r.RemoteAddr)
@@ -49,6 +51,9 @@
 	if !e.acquireSlot(ctx) {
 		e.sleep(ctx, delay)
 		w.Header().Set(executionHeader, string(fault.NotExecuted))
+		if pause := e.settings.ShedPause; pause > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -64,6 +69,15 @@
 	}
 }
 
+// markLeaving adds the mark of an endpoint that leaves to a response's header.
+func (e *Endpoint) markLeaving(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		h.Set(leavingHeader, "1")
+	}
+}
+
 // requestContext returns a context that ends when the caller disconnects or the request's timeout expires.
 func (e *Endpoint) requestContext(r *http.Request) (context.Context, context.CancelFunc) {
 	timeout, err := time.ParseDuration(r.Header.Get(timeoutHeader))
@@ -148,6 +162,7 @@
 		resp = e.swapResponse(resp)
 	}
 	body := resp.body
+	e.markLeaving(w.Header())
 	if resp.requestID != "" {
 		w.Header().Set(requestIDHeader, resp.requestID)
 	}
--- a/load/upstream/settings.go
+++ b/load/upstream/settings.go
@@ -32,6 +32,7 @@
 	MaxConnections    ident.Connections `toml:"connections"`
 	MaxQueue          int               `toml:"queue"`    // maximum number of requests that wait for a slot
 	QueueTimeout      time.Duration     `toml:"patience"` // maximum wait for a slot
+	ShedPause         time.Duration     `toml:"pause"`    // Retry-After of refused requests; 0 omits it
 	Distribution      string            `toml:"times"`    // of service times: fixed, exponential or lognormal
 	MedianServiceTime time.Duration     `toml:"median"`
 	Sigma             float64           `toml:"spread"`  // standard deviation of the logarithm, for lognormal
@@ -104,6 +105,7 @@
 		c.Fail(key+"queue, cache", fmt.Sprintf("%d, %d", s.MaxQueue, s.CacheWarmupRuns), "0 or more")
 	}
 	c.Duration(key+"patience", s.QueueTimeout, 0, time.Minute)
+	c.Duration(key+"pause", s.ShedPause, 0, time.Hour)
 	c.OneOf(key+"times", s.Distribution, ServiceTimeDistributions...)
 	c.Duration(key+"median", s.MedianServiceTime, 0, time.Hour)
 	c.Duration(key+"latency", s.Latency, 0, 10*time.Second)
--- a/load/upstream/upstream_test.go
+++ b/load/upstream/upstream_test.go
@@ -328,3 +328,25 @@
 	is.True(ok)
 	is.Equal(len(problems.List), 5) // admin, surplus, domain, times and the missing slots
 }
+
+// Guards against a stand-in that leaves or asks for quiet without saying so in its responses.
+func TestWithdrawalIsInResponses(t *testing.T) {
+	is := is.New(t)
+	_, e := startEndpoint(t, EndpointSettings{Slots: 1, MedianServiceTime: 200 * time.Millisecond, ShedPause: 1500 * time.Millisecond})
+	client := newClient(t)
+	var first sync.WaitGroup
+	first.Go(func() { _, _, _ = sendRequest(client, e, "r1") })
+	for e.Status().Running == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	response, _, err := sendRequest(client, e, "r2")
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(response.Header.Get("Retry-After"), "1.5")
+	is.Equal(response.Header.Get("Cuminfall-Leaving"), "")
+	first.Wait()
+	is.NoErr(e.Leave(context.Background(), nil, 0))
+	response, _, err = sendRequest(client, e, "r3")
+	is.NoErr(err)
+	is.Equal(response.Header.Get("Cuminfall-Leaving"), "1")
+}
