entry/proxy: the end of an upstream that has said that it leaves is no crash

What callers could see: requests that were in flight when an upstream ended as announced counted as its possible killers; after three such ends a request that had none of its answers since was refused as quarantined. Cause: only the registry's state at the time of the choice was asked, while an upstream says so in its responses, or to control, after that. Change: a crash does not count if the run has said to control, to this VM or to another one that it leaves, also if it is not registered any more. Result: TestEndOfLeavingUpstreamIsNoCrash failed in its three cases of leaving upstreams without the change and passes with -race; the other end still counts.

--- a/entry/proxy/notice.go
+++ b/entry/proxy/notice.go
@@ -56,6 +56,15 @@
 	p.observe(observation.LeavingFact(run), observation.LeavingLifetime)
 }
 
+// isLeaving reports whether a run of an upstream has said, to control or in a response to any VM, that it leaves. The run
+// may have ended.
+func (p *Proxy) isLeaving(run registry.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.LeaseClock.Now()
+	return run.State == registry.Leaving || p.balancer.RestrictionOf(now, run) == balancer.Leaving || p.observations.Has(now, observation.LeavingFact(run))
+}
+
 // applyLeaving marks the run of an upstream that told another VM that it leaves; p.mu is held.
 func (p *Proxy) applyLeaving(f observation.Fact) {
 	p.balancer.MarkLeaving(registry.Upstream{ID: f.Upstream, StartedAt: f.StartedAt, Address: ident.Address(f.Subject)})
--- a/entry/proxy/notice_test.go
+++ b/entry/proxy/notice_test.go
@@ -15,9 +15,13 @@
 
 	"github.com/matryer/is"
 
+	"cuminfall.example/entry/forward"
+	"cuminfall.example/entry/quarantine"
 	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/process"
+	"cuminfall.example/fleet/registry"
 )
 
 // counted returns a handler that counts its requests.
@@ -313,3 +317,37 @@
 	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(fx.upstreamRequests.Load(), int32(1))
 }
+
+// Guards against the quarantine of requests that an upstream had when it ended as it had announced.
+func TestEndOfLeavingUpstreamIsNoCrash(t *testing.T) {
+	for name, leave := range map[string]func(*call, registry.Upstream){
+		"response": func(c *call, u registry.Upstream) { c.markLeaving(u, http.StatusOK) },
+		"response, then dropped from the registry": func(c *call, u registry.Upstream) {
+			c.markLeaving(u, http.StatusOK)
+			c.proxy.balancer.SetUpstreams(time.Now(), nil)
+		},
+		"registry": func(c *call, u registry.Upstream) {
+			u.State = registry.Leaving
+			c.proxy.balancer.SetUpstreams(time.Now(), map[registry.UpstreamID]registry.Upstream{u.ID: u})
+		},
+		"not at all": func(*call, registry.Upstream) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fx := newFixture(t, 0, answerOK)
+			ended := httptest.NewServer(http.NotFoundHandler())
+			u := fx.registry.Upstreams["u0"]
+			u.Address = ident.Address(ended.Listener.Addr().String())
+			fx.registry.Upstreams["u0"], fx.registry.ChangedIndex = u, 1
+			fx.Update(fx.registry)
+			c := fx.newCall(httptest.NewRecorder())
+			choice, refused := c.chooseUpstream(nil)
+			is.True(refused == nil)
+			ended.Close()
+			leave(c, choice.Upstream)
+			f, _ := c.fingerprint()
+			fx.observe(observation.Fact{Kind: quarantine.Crash, Subject: string(f), Upstream: "u9"}, time.Minute) // makes investigate wait
+			is.Equal(c.investigate(choice, &forward.Failure{Reason: forward.Broken, Sent: true}), name == "not at all")
+		})
+	}
+}
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -303,7 +303,7 @@
 // investigate finds out whether the upstream's process ended while it had the request, and returns true if so. The caller
 // waits for that only if the request is known from another crash; otherwise it returns false at once.
 func (c *call) investigate(choice balancer.Choice, failure *forward.Failure) bool {
-	if failure == nil || failure.Reason != forward.Broken || !failure.Sent || failure.Incomplete || choice.Upstream.State == registry.Leaving {
+	if failure == nil || failure.Reason != forward.Broken || !failure.Sent || failure.Incomplete || c.proxy.isLeaving(choice.Upstream) {
 		return false
 	}
 	f, ok := c.fingerprint()
--- a/fleet/observation/leaving.go
+++ b/fleet/observation/leaving.go
@@ -18,8 +18,13 @@
 	return Fact{Kind: Leaving, Subject: string(run.Address), Upstream: run.ID, StartedAt: run.StartedAt}
 }
 
-// Has reports whether a fact has not expired.
-func (b *Board) Has(now time.Time, f Fact) bool {
-	r := b.records.byFact[f]
+// Has reports whether the leader has a fact that has not expired.
+func (b *Board) Has(now time.Time, f Fact) bool { return b.records.has(now, f) }
+
+// Has reports whether the VM knows a fact that has not expired.
+func (s *Set) Has(now time.Time, f Fact) bool { return s.records.has(now, f) }
+
+func (s *records) has(now time.Time, f Fact) bool {
+	r := s.byFact[f]
 	return r != nil && now.Before(r.expiresAt)
 }
