load/upstream: a killed endpoint runs no request that it had received

TestRegionLossStopsItsEndpoints saw runs in the lost region after the loss was complete ("last <= at", 2 of 48 runs, six at a time at a load average of 30 to 37). A handler that had read its request when the endpoint was killed took a slot and recorded a run when it got processor time again, or a run of the next incarnation after a restart. No killed process does that.

A run now begins only under the server that received the request, and its start is taken under the lock that a kill takes. TestKilledEndpointRunsNothing failed before: the request was answered.

--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -83,7 +83,11 @@
 // for an exceeded deadline and the outcome. It releases the slot that the caller acquired.
 func (e *Endpoint) execute(ctx context.Context, r *http.Request) ([]byte, int, Outcome) {
 	defer e.releaseSlot()
-	number := e.runLog.begin(e.newRun(r))
+	run, ok := e.newRun(r)
+	if !ok {
+		return nil, 0, Cancelled
+	}
+	number := e.runLog.begin(run)
 	requestBody, err := io.ReadAll(r.Body)
 	digest := answer.Digest(requestBody)
 	outcome := Done
@@ -117,17 +121,20 @@
 	return responseBody, http.StatusGatewayTimeout, outcome
 }
 
-func (e *Endpoint) newRun(r *http.Request) Run {
+// newRun returns the run of a request that starts now, or false if the incarnation that received the request was killed.
+func (e *Endpoint) newRun(r *http.Request) (Run, bool) {
 	e.mu.Lock()
-	incarnation := e.incarnation
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	if server, ok := r.Context().Value(http.ServerContextKey).(*http.Server); !ok || server != e.server {
+		return Run{}, false
+	}
 	source, _ := netip.ParseAddrPort(r.RemoteAddr) // the server always sets it
 	return Run{
 		Source: source.Addr(), Request: r.Header.Get(answer.RequestHeader), Attempt: r.Header.Get(answer.AttemptHeader),
 		Workspace: ident.Workspace(r.Header.Get(workspaceHeader)), Service: e.settings.Service,
-		Endpoint: e.settings.Address, Incarnation: incarnation, Start: e.clock.Now(),
+		Endpoint: e.settings.Address, Incarnation: e.incarnation, Start: e.clock.Now(),
 		IdempotencyKey: r.Header.Get(idempotencyHeader), KeyLocations: keyLocations(r),
-	}
+	}, true
 }
 
 func (e *Endpoint) responseSize(r *http.Request) int {
--- a/load/upstream/upstream_test.go
+++ b/load/upstream/upstream_test.go
@@ -87,6 +87,24 @@
 	is.True(!run.End.Before(run.Start))
 }
 
+// Guards against a killed endpoint that runs a request which it had received before, also after its next start.
+func TestKilledEndpointRunsNothing(t *testing.T) {
+	is := is.New(t)
+	p, e := startEndpoint(t, EndpointSettings{})
+	killed := e.server
+	runReceived := func() {
+		defer func() { is.Equal(recover(), http.ErrAbortHandler) }() // the connection is reset
+		r := httptest.NewRequest(http.MethodGet, "/forecast/x", nil)
+		e.ServeHTTP(httptest.NewRecorder(), r.WithContext(context.WithValue(r.Context(), http.ServerContextKey, killed)))
+	}
+	e.Kill()
+	runReceived()
+	e.settings.Address = "127.0.0.1:0"
+	is.NoErr(e.Start())
+	runReceived()
+	is.Equal(len(p.runLog.After(0, 10).Runs), 0)
+}
+
 // Guards against an endpoint that runs more requests than it has slots, or that executes a request it sheds.
 func TestSlotsQueueAndShedding(t *testing.T) {
 	is := is.New(t)
