control/coordinator: a report that a newer one has overtaken is refused

What callers saw: look-ups could name a VM that had left, or the address of its earlier run, because a report that it had sent before arrived late. Cause: the leader applied the VM of each report in the order of arrival. Change: the leader keeps each VM's newest run and report number, and refuses what is older.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -72,6 +72,7 @@
 	slotCapacity   regionbalance.SlotCapacity // of the usable upstreams
 	usableUpdated  time.Time
 	lastReports    map[ident.VM]time.Time            // by VMs to this leader
+	reportOrder    map[ident.VM]reportOrder          // of the same reports
 	downSince      map[ident.VM]time.Time            // when this member learned that a VM is down
 	lastSeen       map[registry.UpstreamID]time.Time // by this member, or by others while it is the leader
 	unforwarded    map[registry.UpstreamID]time.Time // last seen by this member, not yet forwarded to the leader
@@ -295,6 +296,9 @@
 		return nil, fault.Wrap(err, fault.Invalid, "report", "")
 	}
 	c.beginTerm(term)
+	if c.isOvertaken(&q) {
+		return nil, fault.New(fault.Conflict, "report", string(q.VM.Name), "report %d is older than one that was received before", q.Sequence)
+	}
 	if err := c.registerVM(ctx, term, q.VM); err != nil {
 		return nil, err
 	}
@@ -344,6 +348,7 @@
 	c.observations = observation.Board{}
 	c.rateAllocator.Tolerance = c.opts.RateTolerance
 	c.lastReports, c.lastSeen = map[ident.VM]time.Time{}, map[registry.UpstreamID]time.Time{}
+	c.reportOrder = map[ident.VM]reportOrder{}
 	var mayHoldAllowances []ident.VM
 	c.opts.StateMachine.view(func(r *registry.Registry) {
 		for name, v := range r.VMs {
