entry/proxy: a late reply of a former leader does not replace the new one's orders

What callers saw: for up to a report's period, allowances, region weights and assignments of a former leader could be in force again. Cause: replies were applied in the order of arrival, and one of an earlier term only changed the term. Change: a reply to a report that is older than the newest one replied to is ignored. A group that begins anew with a lower term is still followed, as its replies are to newer reports.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -108,6 +108,7 @@
 	startedAt               time.Time     // start of this process, by LeaseClock
 	reportSequence          uint64        // number of the last report
 	appliedSequence         uint64        // number of the newest report whose reply was applied
+	repliedSequence         uint64        // number of the newest report that was replied to
 	appliedTerm             ident.Term    // term of the leader that sent that reply
 }
 
--- a/entry/proxy/ratelimit.go
+++ b/entry/proxy/ratelimit.go
@@ -124,6 +124,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.linkDelay.AddSample(now, now.Sub(sentAt))
+	if report.Sequence < p.repliedSequence {
+		return // overtaken by the reply to a later report, maybe of a later leader
+	}
+	p.repliedSequence = report.Sequence
 	p.applyObservations(now, report, reply)
 	close(p.reportAnswered) // after the reply has been applied, because the waiting requests need p.mu
 	p.reportAnswered = make(chan struct{})
