entry/proxy: an upstream's failure response outlives a retry without one

What callers saw: 502 of the entry VM in place of the upstream's own failure response, where the retry of an idempotent request was not executed or broke off. Cause: the answer was that of the last attempt, with a flag for earlier runs that turned a refusal into 502. Change: the attempt that tells most is kept: an upstream's response first, then a refusal after a run, then one without. The flag is gone. Result: TestFailureResponseOutlivesRetryWithoutResponse got 502 twice on and gets 500 with the upstream's stamp; the tests of refusals after a run pass.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -36,28 +36,31 @@
 func (c *call) tryUpstreams() *refusal {
 	var tried []registry.UpstreamID
 	sends, connectFailures := 0, 0
-	var last attemptResult
+	var last, reported attemptResult // reported is what the caller gets if no further attempt follows
 	defer c.leaveQuarantine()
 	for {
 		if gateway.ClientDisconnected(c.r.Context()) {
 			c.abandon()
 		}
 		if c.endedByStop() {
-			return c.finish(last, c.refuseAtEnd())
+			return c.finish(reported, c.refuseAtEnd())
 		}
 		if refused := c.passQuarantine(); refused != nil {
-			return c.finish(last, refused)
+			return c.finish(reported, refused)
 		}
 		if refused := c.renewRate(); refused != nil {
-			return c.finish(last, refused)
+			return c.finish(reported, refused)
 		}
 		choice, refused := c.chooseUpstream(tried)
 		if refused != nil {
-			return c.finish(last, refused)
+			return c.finish(reported, refused)
 		}
 		tried = append(tried, choice.Upstream.ID)
 		last = c.attempt(choice)
-		c.mayHaveRun, c.ran = c.mayHaveRun || last.mayHaveRun, c.ran || last.mayHaveRun
+		if last.tellsMoreThan(reported) {
+			reported = last
+		}
+		c.mayHaveRun = c.mayHaveRun || last.mayHaveRun
 		if last.answered {
 			return nil
 		}
@@ -68,7 +71,7 @@
 			connectFailures++
 		}
 		if !last.retryable || last.mayHaveArrived && !c.mayRetrySuspect(last) || connectFailures >= maxConnectFailures || last.mayHaveArrived && !c.takeRetry(sends) {
-			return c.finish(last, nil)
+			return c.finish(reported, nil)
 		}
 		c.proxy.opts.Log.Event(logrus.InfoLevel, "again", c.logFields("again"), "retrying request at another upstream")
 	}
@@ -92,8 +95,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// finish ends a request with the failure response or the refusal of its last attempt, or with refused if there was no
-// attempt.
+// finish ends a request with the failure response or the refusal of an attempt, or with refused if there was no attempt.
 func (c *call) finish(last attemptResult, refused *refusal) *refusal {
 	if last.failureResponse != nil {
 		body := last.failureResponse.body
@@ -130,6 +132,15 @@
 	crashed         bool              // the upstream's process ended while it had the request
 }
 
+// tellsMoreThan reports whether the caller gets the response or refusal of r in place of that of an earlier attempt. An
+// upstream's response goes before a refusal, and a refusal after a run before one that says that the request did not run.
+func (r attemptResult) tellsMoreThan(earlier attemptResult) bool {
+	if earlier.failureResponse != nil {
+		return r.failureResponse != nil
+	}
+	return r.mayHaveRun || !earlier.mayHaveRun
+}
+
 func (c *call) attempt(choice balancer.Choice) attemptResult {
 	startedAt := c.proxy.opts.Clock.Now()
 	upstream := choice.Upstream
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -163,3 +163,34 @@
 	is.Equal(response.StatusCode, http.StatusBadGateway)
 	is.Equal(attempts.Load(), int32(2))
 }
+
+// Guards against an upstream's failure response that is lost because the retry of the request gets none.
+func TestFailureResponseOutlivesRetryWithoutResponse(t *testing.T) {
+	for name, retry := range map[string]http.HandlerFunc{
+		"not executed": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"broken off": breakOff,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var attempts atomic.Int32
+			handler := func(w http.ResponseWriter, r *http.Request) {
+				if attempts.Add(1) > 1 {
+					retry(w, r)
+					return
+				}
+				w.Header().Set("X-Stamp", "s")
+				w.WriteHeader(http.StatusInternalServerError)
+				_, _ = io.WriteString(w, "failed")
+			}
+			fx := newFixture(t, 0, handler, handler)
+			response, body := fx.post("/safe/x", "", "key")
+			is.Equal(attempts.Load(), int32(2))
+			is.Equal(response.StatusCode, http.StatusInternalServerError)
+			is.Equal(response.Header.Get("X-Stamp"), "s")
+			is.Equal(body, "failed")
+		})
+	}
+}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -14,7 +14,6 @@
 
 	"cuminfall.example/entry/admission"
 	"cuminfall.example/entry/balancer"
-	"cuminfall.example/entry/forward"
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/registry"
@@ -58,7 +57,6 @@
 	service        ident.Service
 	rateTakenAt    time.Time   // when it was last counted against its workspace's allowance
 	mayHaveRun     bool        // an upstream ran it or may have run it since rateTakenAt
-	ran            bool        // an upstream ran it or may have run it
 	outliveStop    func() bool // keeps the final answers of a graceful shutdown from ending the attempt
 	suspicion      suspicion
 }
@@ -215,9 +213,6 @@
 func (c *call) refuse(refused *refusal) {
 	p := c.proxy
 	c.refundRate()
-	if c.ran && forward.PromisesNotExecuted(refused.status) {
-		refused.status = http.StatusBadGateway
-	}
 	p.metrics.refused.Inc(1)
 	event := "refused"
 	if refused.status == http.StatusBadGateway || refused.status == http.StatusGatewayTimeout {
