entry/proxy: a whole upload that no upstream answers gets its 504

Callers of uploads in chunks, and of uploads that were sent again, saw their connection end at the deadline without an answer. Each attempt set the upload's read deadline again, also after the end of the body was read. The server then reads on to detect a disconnect; that read ended at the deadline, cancelled the request's context and counted as the caller's disconnect.

--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -34,8 +34,15 @@
 	_ = u.controller.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is already closed
 }
 
-// restoreDeadline undoes an interrupt.
-func (u *upload) restoreDeadline() { _ = u.controller.SetReadDeadline(u.deadline) }
+// restoreDeadline undoes an interrupt. After the end of the body the server reads on to detect a disconnect, which must not
+// end at the deadline.
+func (u *upload) restoreDeadline() {
+	deadline := u.deadline
+	if u.readErr == io.EOF {
+		deadline = time.Time{}
+	}
+	_ = u.controller.SetReadDeadline(deadline) // fails only if the connection is already closed
+}
 
 // timedOut reports whether the caller sent the body too slowly, as opposed to ending it early.
 func (u *upload) timedOut() bool { return errors.Is(u.readErr, os.ErrDeadlineExceeded) }
