entry/shutdown: a request that is late by the signal is late at a VM that noticed the signal late

A VM counts the time of a request from the moment at which its shutdown begins. On a busy VM that moment is up to a tenth of a second after the signal, the time for which a used-up share of the processor rests. With a grace period of 10 s, a request that was sent 3 s after the signal or a little later was still accepted if 1.5 times its expected latency was left, and cut at the end if it took longer. Found by reading; TestVMThatNoticesItsStopLate failed before.

--- a/entry/shutdown/shutdown.go
+++ b/entry/shutdown/shutdown.go
@@ -7,6 +7,8 @@
 	// An earlier request that still runs at the end may get an error in place of its answer; a late one must be answered.
 	lateShare    = 0.5
 	maxLateAfter = 3 * time.Second
+	// noticeTime is how long after the signal a busy VM may begin its shutdown, from which the time of requests counts.
+	noticeTime = 100 * time.Millisecond
 	// earlyLatencyFactor and lateLatencyFactor are how many times its expected latency a request must have left until
 	// the final answers. Few requests take three times as long as expected.
 	earlyLatencyFactor = 1.5
@@ -36,7 +38,7 @@
 // not run, and its caller can repeat it at another VM at once.
 func Decide(grace time.Duration, r Request) Decision {
 	factor := earlyLatencyFactor
-	if r.Elapsed >= min(time.Duration(lateShare*float64(grace)), maxLateAfter) {
+	if r.Elapsed >= min(time.Duration(lateShare*float64(grace)), maxLateAfter-noticeTime) {
 		if r.Streamed {
 			return Decision{Reason: "this VM is shutting down and the request body may arrive too late"}
 		}
--- a/entry/shutdown/shutdown_test.go
+++ b/entry/shutdown/shutdown_test.go
@@ -51,3 +51,16 @@
 		}
 	}
 }
+
+// Guards against a late request that is accepted like an early one because the VM noticed the signal late.
+func TestVMThatNoticesItsStopLate(t *testing.T) {
+	is := is.New(t)
+	const grace, noticedAfter = 10 * time.Second, 100 * ms
+	for sent := maxLateAfter; sent < grace; sent += 10 * ms {
+		for latency := time.Duration(0); latency < grace; latency += 50 * ms {
+			if Decide(grace, Request{Elapsed: sent - noticedAfter, ExpectedLatency: latency}).Accept {
+				is.True(sent-noticedAfter+3*latency <= FinalAnswers(grace))
+			}
+		}
+	}
+}
