fleet/observation: facts that repeat about a subject outlive those that are alone

After 194 upstreams with 36 requests each had crashed, 15% of a large service twice, a request that had crashed three upstreams before was sent again: 4096 facts are kept and the oldest ones were dropped. Nearly all facts of such crashes are alone about their requests and say nothing of them, so these are dropped first now, at the VMs and at the leader.

TestLaterCrashesReleaseNoQuarantinedRequest failed before.

--- a/fleet/observation/observation.go
+++ b/fleet/observation/observation.go
@@ -1,6 +1,7 @@
 package observation
 
 import (
+	"slices"
 	"time"
 
 	"cuminfall.example/fleet/ident"
@@ -8,7 +9,8 @@
 )
 
 const (
-	// maxFacts limits the facts that a VM or the leader keeps. Beyond it, those that were received first are dropped.
+	// maxFacts limits the facts that a VM or the leader keeps. Beyond it, those that are alone about their subject are
+	// dropped, and of these the one that was received first.
 	maxFacts = 4096
 	// maxReportFacts limits the facts in one report; the newest ones are sent first.
 	maxReportFacts = 256
@@ -68,9 +70,18 @@
 	return Observation{Fact: r.fact, Age: now.Sub(r.learnedAt).Truncate(time.Millisecond), Left: r.expiresAt.Sub(now).Truncate(time.Millisecond)}
 }
 
+// topic is what facts are about.
+type topic struct {
+	kind    Kind
+	subject string
+}
+
+func (f Fact) topic() topic { return topic{f.Kind, f.Subject} }
+
 // records are facts in the order of receipt. The zero value is empty.
 type records struct {
 	byFact     map[Fact]*record
+	onTopic    map[topic]int // number of facts
 	order      []*record
 	lastSerial uint64
 	nextExpiry time.Time // no fact expires before
@@ -91,7 +102,7 @@
 		return r, false
 	}
 	if s.byFact == nil {
-		s.byFact = map[Fact]*record{}
+		s.byFact, s.onTopic = map[Fact]*record{}, map[topic]int{}
 	}
 	s.lastSerial++
 	r = &record{fact: o.Fact, learnedAt: learnedAt, expiresAt: now.Add(min(o.Left, maxLifetime)), serial: s.lastSerial}
@@ -99,14 +110,29 @@
 		s.nextExpiry = r.expiresAt
 	}
 	s.byFact[o.Fact] = r
+	s.onTopic[o.topic()]++
 	s.order = append(s.order, r)
 	if len(s.order) > maxFacts {
-		delete(s.byFact, s.order[0].fact)
-		s.order = s.order[1:]
+		s.drop()
 	}
 	return r, true
 }
 
+// drop removes one fact. Facts that repeat about a subject are what VMs act on, so it removes one that is alone, if any.
+func (s *records) drop() {
+	i := max(slices.IndexFunc(s.order, func(r *record) bool { return s.onTopic[r.fact.topic()] == 1 }), 0)
+	s.forget(s.order[i].fact)
+	s.order = slices.Delete(s.order, i, i+1)
+}
+
+// forget removes a fact from the maps.
+func (s *records) forget(f Fact) {
+	delete(s.byFact, f)
+	if s.onTopic[f.topic()]--; s.onTopic[f.topic()] == 0 {
+		delete(s.onTopic, f.topic())
+	}
+}
+
 // expire removes the facts that have expired.
 func (s *records) expire(now time.Time) {
 	if len(s.order) == 0 || now.Before(s.nextExpiry) {
@@ -115,7 +141,7 @@
 	kept := make([]*record, 0, len(s.order))
 	for _, r := range s.order {
 		if !now.Before(r.expiresAt) {
-			delete(s.byFact, r.fact)
+			s.forget(r.fact)
 			continue
 		}
 		if len(kept) == 0 || r.expiresAt.Before(s.nextExpiry) {
