entry/proxy: an answer after many crashes judges the suspects once

A request that was in flight at many upstreams when they crashed waited, once it was answered, until all requests had been judged again for each of these upstreams, with the proxy's lock held; the answer was written after that. TestAnswerAfterManyCrashesIsOneReport counted 200 reports in place of one before.

--- a/entry/proxy/observe.go
+++ b/entry/proxy/observe.go
@@ -12,11 +12,20 @@
 // observe records a fact that this VM learned from its traffic, and sends it to all other VMs. The caller must not hold
 // p.mu.
 func (p *Proxy) observe(fact observation.Fact, lifetime time.Duration) {
-	now := p.opts.LeaseClock.Now()
+	p.observeAll([]observation.Fact{fact}, lifetime)
+}
+
+// observeAll is observe for several facts, after which the suspects are judged once.
+func (p *Proxy) observeAll(facts []observation.Fact, lifetime time.Duration) {
+	now, added := p.opts.LeaseClock.Now(), false
 	p.mu.Lock()
-	added := p.observations.Add(now, fact, lifetime)
+	for _, fact := range facts {
+		if p.observations.Add(now, fact, lifetime) {
+			added = true
+			p.handleObservation(observation.Observation{Fact: fact, Left: lifetime}, "")
+		}
+	}
 	if added {
-		p.handleObservation(observation.Observation{Fact: fact, Left: lifetime}, "")
 		p.judgeSuspects(now)
 	}
 	p.mu.Unlock()
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -303,9 +303,7 @@
 		return
 	}
 	c.logSuspect("cleared", f, suspectCase, nil, "request was answered after crashes of upstreams that had it")
-	for _, fact := range suspectCase.Answers(f) {
-		p.observe(fact, quarantine.Lifetime)
-	}
+	p.observeAll(suspectCase.Answers(f), quarantine.Lifetime)
 }
 
 // investigate finds out whether the upstream's process ended while it had the request, and returns true if so. The caller
--- a/entry/proxy/quarantine_test.go
+++ b/entry/proxy/quarantine_test.go
@@ -90,3 +90,31 @@
 	is.Equal(response.StatusCode, http.StatusBadGateway)
 	is.Equal(runs.Load(), int32(2))
 }
+
+// countingControl counts the reports that are triggered.
+type countingControl struct{ triggers *atomic.Int32 }
+
+func (countingControl) HasLeader() bool  { return true }
+func (c countingControl) TriggerReport() { c.triggers.Add(1) }
+
+// Guards against an answer that waits until all requests are judged again for each upstream that had crashed.
+func TestAnswerAfterManyCrashesIsOneReport(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 0, answerOK)
+	const crashes = 200 // simultaneous, so that the request is not quarantined
+	f := quarantine.HeadOf("POST", "h", "/safe/x", "key", 2).WithBody([]byte("ab"))
+	var facts []observation.Fact
+	for i := range crashes {
+		facts = append(facts, observation.Fact{Kind: quarantine.Crash, Subject: string(f), Upstream: registry.UpstreamID(fmt.Sprint("gone", i)), StartedAt: 1})
+	}
+	var triggers atomic.Int32
+	fx.control = countingControl{&triggers}
+	for _, fact := range facts {
+		fx.observe(fact, quarantine.Lifetime)
+	}
+	triggers.Store(0)
+	response, _ := fx.post("/safe/x", "ab", "key")
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(fx.observations.Len(), 2*crashes)
+	is.Equal(triggers.Load(), int32(1))
+}
