entry/follower: a command that cannot be decoded is skipped

Members of the control group skip a command that they cannot decode and go on. Entry VMs stopped following instead, asked the next member for the same command and so on: no VM had any further change, and a VM that started anew had no configuration, until 4096 commands later. They skip it too now, so that their copies stay equal to the members'.

TestUnreadableCommandIsSkipped failed before (index 0, want 3). Found by reading; no command that is committed like this is known.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -252,7 +252,10 @@
 		}
 		command, err := registry.Decode(entry.Command)
 		if err != nil {
-			return err
+			// Members skip it too, so the copies of the registry stay equal.
+			f.opts.Log.WithFields(logrus.Fields{"event": "register", "member": member, "index": entry.Index}).WithError(err).Warn("command skipped")
+			f.registry.Index = entry.Index
+			continue
 		}
 		f.registry.Apply(entry.Index, command)
 	}
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -30,6 +30,7 @@
 	stateDelay   time.Duration // before a reply that carries state
 	stateReplies int           // replies that were begun with state
 	leader       ident.Address
+	unreadable   ident.Index // of a command that cannot be decoded
 }
 
 func (m *fakeMember) set(index ident.Index, isolated, unresponsive bool) {
@@ -56,7 +57,11 @@
 	time.Sleep(stateDelay)
 	for i := request.Index + 1; i <= reply.Index; i++ {
 		command := registry.Command{Drain: &registry.Drain{Domain: ident.Domain(rune('a' + i)), Active: true}}
-		reply.Entries = append(reply.Entries, protocol.LogEntry{Index: i, Command: command.Encode()})
+		entry := protocol.LogEntry{Index: i, Command: command.Encode()}
+		if i == m.unreadable {
+			entry.Command = json.RawMessage(`{"drain":1}`)
+		}
+		reply.Entries = append(reply.Entries, entry)
 	}
 	if unresponsive {
 		<-ctx.Done()
@@ -238,3 +243,20 @@
 		h.mu.Unlock()
 	}
 }
+
+// Guards against one command that cannot be decoded and that ends all changes of the registry at all VMs. Members skip it.
+func TestUnreadableCommandIsSkipped(t *testing.T) {
+	is := is.New(t)
+	member := &fakeMember{index: 3, unreadable: 2}
+	handler := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Log: process.NewLogger(io.Discard, "info"), Handler: handler, Seeds: []ident.Address{startMember(t, member)}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	waitForIndex(t, handler, 3)
+	member.set(4, false, false)
+	waitForIndex(t, handler, 4)
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	is.Equal(handler.indexes, []ident.Index{3, 4})
+}
