load/upstream, scenario: the time of a request's arrival is that of the kernel

What operators saw: TestScenarios/rate_thaw counted a burst of 86.7 where 60 are allowed, while the same requests needed 13.1 when their tokens were taken and 13.0 when they were sent. The stand-in upstream noted each run when its process got to it, up to 590 ms after the request.

Cause: the check took the stand-in's time of the run for the time at which the request reached the upstream.

Change: the stand-in's listening sockets have SO_TIMESTAMPNS, connections read with recvmsg, and a run records when the kernel received the request's head. `runs rate=R burst=B` counts these times; its bound is unchanged. A request whose segment carries no time stamp counts at the time of the run, as before. The new time is as strict or stricter: bunching by the stand-in falls away, and a late stand-in hides no excess.

Evidence: TestArrivalDoesNotDependOnTheReader, with the kernel's time left out of `arrival`: "no request arrived when it was sent".

--- a/load/upstream/connection.go
+++ b/load/upstream/connection.go
@@ -1,9 +1,12 @@
 package upstream
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -36,11 +39,31 @@
 	silent    atomic.Bool
 	closeOnce sync.Once
 	closed    chan struct{}
+	arrivedAt atomic.Pointer[time.Time] // when the last bytes read arrived; nil if the kernel did not record it
+}
+
+// arrival returns when the last bytes read from the connection of a request arrived, or now if that is not known. It
+// does not depend on when this process got processor time to read them.
+func arrival(r *http.Request, now time.Time) time.Time {
+	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+		if at := c.arrivedAt.Load(); at != nil {
+			return *at
+		}
+	}
+	return now
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// withConnection is the ConnContext of an endpoint's server.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
 }
 
 // Read implements net.Conn; on a silent connection it blocks until the connection is closed.
 func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.read(p)
 	if c.silent.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -52,6 +75,21 @@
 	return n, err
 }
 
+// read reads and records when the bytes arrived.
+func (c *connection) read(p []byte) (int, error) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return c.Conn.Read(p)
+	}
+	n, at, err := readWithArrival(tcp, p)
+	if n > 0 && !at.IsZero() {
+		c.arrivedAt.Store(&at)
+	} else if n > 0 {
+		c.arrivedAt.Store(nil)
+	}
+	return n, err
+}
+
 // Write implements net.Conn; on a silent connection it blocks until the connection is closed.
 func (c *connection) Write(p []byte) (int, error) {
 	if c.silent.Load() {
--- a/load/upstream/endpoint.go
+++ b/load/upstream/endpoint.go
@@ -99,6 +99,12 @@
 	if err != nil {
 		return err
 	}
+	if tcp, ok := l.(*net.TCPListener); ok {
+		if err := enableArrivalTimes(tcp); err != nil {
+			l.Close()
+			return err
+		}
+	}
 	e.mu.Lock()
 	if !strings.HasSuffix(string(e.settings.Address), ":"+port(l)) {
 		e.settings.Address = ident.Address(l.Addr().String()) // port 0 in the settings: the system chose the port
@@ -108,7 +114,7 @@
 	e.leaving, e.stopping = false, false
 	e.loadSamples = nil
 	e.runsSinceCold = 0 // a new incarnation starts with a cold cache
-	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute, ConnContext: withConnection}
 	e.server = server
 	e.mu.Unlock()
 	go func() {
--- a/load/upstream/record.go
+++ b/load/upstream/record.go
@@ -32,6 +32,7 @@
 	Endpoint       ident.Address     `json:"endpoint"`
 	Incarnation    ident.Incarnation `json:"incarnation"`
 	Source         netip.Addr        `json:"source,omitzero"` // remote address of the connection
+	Arrived        time.Time         `json:"arrived"`         // when the request's head arrived at the endpoint's socket
 	Start          time.Time         `json:"start"`
 	End            time.Time         `json:"end,omitzero"`
 	Received       ident.Bytes       `json:"received"`
--- a/load/upstream/serve.go
+++ b/load/upstream/serve.go
@@ -29,6 +29,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrivedAt := arrival(r, e.clock.Now())
 	switch r.URL.Path {
 	case "/load":
 		e.serveLoad(w)
@@ -57,7 +58,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, status, outcome := e.execute(ctx, r)
+	body, status, outcome := e.execute(ctx, r, arrivedAt)
 	e.sleep(ctx, delay)
 	switch {
 	case outcome == Cancelled || outcome == IncompleteBody:
@@ -95,12 +96,13 @@
 
 // execute reads the request body, waits for the service time and returns the response body, the status
 // for an exceeded deadline and the outcome. It releases the slot that the caller acquired.
-func (e *Endpoint) execute(ctx context.Context, r *http.Request) ([]byte, int, Outcome) {
+func (e *Endpoint) execute(ctx context.Context, r *http.Request, arrivedAt time.Time) ([]byte, int, Outcome) {
 	defer e.releaseSlot()
 	run, ok := e.newRun(r)
 	if !ok {
 		return nil, 0, Cancelled
 	}
+	run.Arrived = arrivedAt
 	number := e.runLog.begin(run)
 	requestBody, err := io.ReadAll(r.Body)
 	digest := answer.Digest(requestBody)
--- a/load/upstream/upstream_test.go
+++ b/load/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -87,6 +88,37 @@
 	is.True(!run.End.Before(run.Start))
 }
 
+// Guards against a time of arrival that depends on when the endpoint's process gets to read the request.
+func TestArrivalDoesNotDependOnTheReader(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer inner.Close()
+	is.NoErr(enableArrivalTimes(inner.(*net.TCPListener)))
+	_, e := startEndpoint(t, EndpointSettings{MaxConnections: 10})
+	client, err := net.Dial("tcp", inner.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	accepted, err := (&listener{Listener: inner, endpoint: e}).Accept()
+	is.NoErr(err)
+	defer accepted.Close()
+	r := httptest.NewRequest(http.MethodGet, "/forecast/x", nil)
+	r = r.WithContext(withConnection(r.Context(), accepted))
+	for range 2 { // the kernel may begin to record after the first segment
+		sentAfter := time.Now().Round(0)
+		_, err = client.Write([]byte("request"))
+		is.NoErr(err)
+		sentBefore := time.Now().Round(0)
+		time.Sleep(300 * time.Millisecond)
+		_, err = accepted.Read(make([]byte, 100))
+		is.NoErr(err)
+		if at := arrival(r, time.Now()); !at.Before(sentAfter) && !at.After(sentBefore) {
+			return
+		}
+	}
+	t.Fatal("no request arrived when it was sent")
+}
+
 // Guards against a killed endpoint that runs a request which it had received before, also after its next start.
 func TestKilledEndpointRunsNothing(t *testing.T) {
 	is := is.New(t)
--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -425,7 +425,7 @@
 	byRegion := map[string][]upstream.Run{}
 	byRequest := map[string]int{}
 	runsByKey := map[string]int{}
-	var starts []time.Time
+	var arrivals []time.Time
 	for _, r := range runs {
 		if len(r.KeyLocations) > 0 {
 			ts.Fatalf("run %d received a key in %v", r.Number, r.KeyLocations)
@@ -442,7 +442,7 @@
 			byRegion[region] = append(byRegion[region], r)
 		}
 		if string(r.Workspace) == p["workspace"] || region == p["region"] {
-			starts = append(starts, r.Start)
+			arrivals = append(arrivals, r.Arrived)
 		}
 	}
 	for key, n := range runsByKey {
@@ -478,13 +478,13 @@
 		}
 	}
 	f.previousEndpoints = endpoints
-	if len(starts) < p.intOr("least", 0) {
-		ts.Fatalf("%s%s: %d runs, want at least %s", p["workspace"], p["region"], len(starts), p["least"])
+	if len(arrivals) < p.intOr("least", 0) {
+		ts.Fatalf("%s%s: %d runs, want at least %s", p["workspace"], p["region"], len(arrivals), p["least"])
 	}
 	if p["rate"] != "" {
-		sort.Slice(starts, func(i, j int) bool { return starts[i].Before(starts[j]) })
-		neededBurst := report.RequiredBurst(float64(p.intOr("rate", 0)), starts)
-		ts.Logf("%d runs of %s%s; the windows need a burst of %.1f", len(starts), p["workspace"], p["region"], neededBurst)
+		sort.Slice(arrivals, func(i, j int) bool { return arrivals[i].Before(arrivals[j]) })
+		neededBurst := report.RequiredBurst(float64(p.intOr("rate", 0)), arrivals)
+		ts.Logf("%d runs of %s%s; the windows need a burst of %.1f", len(arrivals), p["workspace"], p["region"], neededBurst)
 		if neededBurst > float64(p.intOr("burst", 0)) {
 			ts.Fatalf("%s%s: some window needs a burst of %.1f over %s/s, allowed %s", p["workspace"], p["region"], neededBurst, p["rate"], p["burst"])
 		}
