entry/router: requests that spill to the target of a shift count against its cap

A region with cold caches got half as much again as the cap of the shift that moves traffic there.

Cause: only the requests that the shift itself moves took a token of the cap.

Decision: while the source has an upstream that is not leaving, drained or down by a verdict, requests that go from a VM nearer to the source to the target count against the cap, retries included. Without tokens they go to other regions, or wait for a slot of the source or a token until they are refused as not run.

Evidence: TestSpillsToTheTargetOfAShiftStayWithinItsCap failed before: "8 != 3", "4 != 3" (beside an empty third region), "10 != 3" twice with suspected and failing sources. The model of TestEveryRequestEndsOnceWithinItsShares now demands that each request from source to target counts.

--- a/entry/router/demand.go
+++ b/entry/router/demand.go
@@ -20,7 +20,8 @@
 //   - For the connections to an endpoint: the same as for its slots.
 //   - For a region: the sum over its endpoints.
 //   - For a link: the bytes per second that were sent or had to wait.
-//   - For a shift: the requests per second that its fraction would move.
+//   - For a shift: the requests per second that its fraction would move and that
+//     would spill to its target.
 //
 // A count with units in use is always reported, because control may give other VMs
 // only the part of a lowered share that is no longer in use here. Other limits
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -46,7 +46,6 @@
 		return noToken, out
 	}
 	if moved != nil {
-		moved.credit--
 		r.stats.Shifted++
 	}
 	return started, r.beginAttempt(q, e, out)
@@ -117,7 +116,8 @@
 
 // pickEndpoint returns the best candidate that has free capacity and that earlier
 // attempts do not exclude, or nil. If target is not nil, only endpoints to which
-// this shift moves traffic are considered.
+// this shift moves traffic are considered; otherwise none to which the cap of a
+// shift lets no request spill.
 func (r *Router) pickEndpoint(q *request, target *shift) *endpoint {
 	if !r.now.Before(r.view.leaseExpiry) {
 		return nil
@@ -131,7 +131,11 @@
 			if !e.hasCapacity() || e.notice.restricts(r.now) || q.excludes(e) || target != nil && !target.movesTo(e) {
 				continue
 			}
-			if key := e.sortKey(r.now, lowestKey); key < lowestKey {
+			key := e.sortKey(r.now, lowestKey)
+			if key >= lowestKey {
+				continue
+			}
+			if _, allowed := s.spill(e, r.now); target != nil || allowed {
 				best, lowestKey = e, key
 			}
 		}
@@ -140,14 +144,25 @@
 }
 
 // chooseEndpoint picks an endpoint and applies the service's shifts. It also
-// returns the shift that moved the request to that endpoint, or nil.
+// returns the shift whose cap the request counts against, or nil.
 func (r *Router) chooseEndpoint(q *request) (*endpoint, *shift) {
 	e := r.pickEndpoint(q, nil)
 	s := q.service
 	if s.firstCandidate++; s.firstCandidate >= len(s.endpoints) {
 		s.firstCandidate = 0
 	}
-	if e == nil || q.attempt > 0 {
+	if e == nil {
+		s.demandSpill(q, r.now)
+		return nil, nil
+	}
+	if shift, _ := s.spill(e, r.now); shift != nil {
+		if !q.spillDemanded {
+			shift.demand.add(r.now, 1)
+		}
+		shift.bucket.Take(r.now, 1)
+		return e, shift
+	}
+	if q.attempt > 0 {
 		return e, nil
 	}
 	for _, shift := range s.shifts {
@@ -163,6 +178,7 @@
 		if target == nil || !shift.bucket.Take(r.now, 1) {
 			return e, nil
 		}
+		shift.credit--
 		return target, shift
 	}
 	return e, nil
--- a/entry/router/property_test.go
+++ b/entry/router/property_test.go
@@ -146,7 +146,7 @@
 			m.endRequest(f.ID)
 		}
 	}
-	m.checkShifts()
+	m.checkShifts(out)
 	if n, ok := m.router.NextTick(); m.router.Waiting() > 0 && (!ok || !n.After(m.router.now)) {
 		m.t.Fatalf("requests wait, and the next tick is due at %v (%v), want a later time", n, ok)
 	}
--- a/entry/router/property_topology_test.go
+++ b/entry/router/property_topology_test.go
@@ -60,8 +60,27 @@
 	topology.regionUse[r]++
 }
 
-// checkShifts adds the requests that shifts moved in one step to their usage.
-func (m *model) checkShifts() {
+// checkShifts adds the requests that count against the cap of a shift in one step to its usage. These include all that
+// went from its source to its target while the source had an upstream.
+func (m *model) checkShifts(out []Effect) {
+	v := &m.router.view
+	spilled := uint64(0)
+	for _, effect := range out {
+		send, ok := effect.(*Send)
+		if !ok || len(v.services[send.Service].shifts) == 0 {
+			continue
+		}
+		hasSource := false
+		for _, e := range v.services[send.Service].endpoints {
+			hasSource = hasSource || e.region.name == "a"
+		}
+		if hasSource && v.endpoints[send.Endpoint].domain == "b1" {
+			spilled++
+		}
+	}
+	if counted := m.router.Stats().Shifted - m.topology.shiftedCount; spilled > counted {
+		m.t.Fatalf("%d requests went to the target of a shift, %d counted against its cap", spilled, counted)
+	}
 	for n := m.router.Stats().Shifted; m.topology.shiftedCount < n; m.topology.shiftedCount++ {
 		m.topology.shiftUsage.use(m.t, m.now, 1)
 	}
--- a/entry/router/queue.go
+++ b/entry/router/queue.go
@@ -321,7 +321,7 @@
 // scheduleDispatch computes when waiting requests can start or must be refused as stale.
 func (r *Router) scheduleDispatch() {
 	if r.waiting > 0 {
-		r.nextDispatch = earlier(earlier(r.view.confirmedAt.Add(r.config.MaxViewAge+1), r.nextTokenTime()), r.nextReturn())
+		r.nextDispatch = earlier(earlier(r.view.confirmedAt.Add(r.config.MaxViewAge+1), r.nextTokenTime()), earlier(r.nextReturn(), r.nextSpill()))
 		if len(r.slotHolds) > 0 {
 			r.nextDispatch = earlier(r.nextDispatch, r.slotHolds[0].expiry)
 		}
--- a/entry/router/request.go
+++ b/entry/router/request.go
@@ -41,6 +41,7 @@
 	region               *region                // of the running attempt, which counts against the region's capacity
 	mayHaveRun           bool                   // an earlier attempt may have run
 	mayRetrySameEndpoint bool                   // the endpoint of the last attempt may be tried again
+	spillDemanded        bool                   // counted in the demand for a shift's cap that holds it back
 
 	queue      *queue
 	prev, next *request
--- a/entry/router/route_test.go
+++ b/entry/router/route_test.go
@@ -114,6 +114,57 @@
 	}
 }
 
+// Guards against requests that reach the target of a shift beyond its cap, because they spill from the source.
+func TestSpillsToTheTargetOfAShiftStayWithinItsCap(t *testing.T) {
+	const thirdRegionAddr = "127.0.0.1:4"
+	for _, c := range []struct {
+		name       string
+		change     func(fleet *testFleet, r *Router)
+		want       int // requests at the target
+		wantOthers int // in the third region
+	}{
+		{"no shift", func(fleet *testFleet, _ *Router) { fleet.document.Shifts.Shifts = nil }, 8, 0},
+		{"at the cap", func(*testFleet, *Router) {}, 3, 0},
+		{"region without a shift", func(fleet *testFleet, _ *Router) {
+			fleet.setShare(limit.OfSlots(thirdRegionAddr), 0, 0, 20)
+		}, 3, 5},
+		{"source drained", withDrain(document.RegionKind, "a"), 10, 0},
+		{"source suspected", func(fleet *testFleet, _ *Router) { fleet.upstreams[0].Suspected = true }, 3, 0},
+		{"failures at the source", func(_ *testFleet, r *Router) { r.view.endpoints[sameDomainAddr].failures.add(r.now, 9) }, 3, 0},
+		{"other source", func(fleet *testFleet, _ *Router) { fleet.document.Shifts.Shifts[0].From = "c" }, 8, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := newTestFleet()
+			fleet.document.Topology.Regions = append(fleet.document.Topology.Regions, document.Region{Name: "c"})
+			fleet.document.Topology.Domains = append(fleet.document.Topology.Domains, document.Domain{Name: "c1", Region: "c"})
+			fleet.addUpstream("read", sameDomainAddr, "a1", 2)
+			fleet.addUpstream("read", otherRegionAddr, "b1", 20)
+			fleet.addUpstream("read", thirdRegionAddr, "c1", 0)
+			fleet.document.Shifts.Shifts = []document.Shift{{Name: "s", Service: "read", From: "a", To: "b", Share: 0.01, Cap: 1}}
+			fleet.setShare(limit.OfShift("s"), 1, 3, 0)
+			r := fleet.startRouter(t)
+			r.Step(&Synced{At: epoch.Add(2 * time.Second), Sent: epoch.Add(2 * time.Second), Reply: fleet.unchangedReply()}, nil)
+			now := epoch.Add(3 * time.Second)
+			c.change(fleet, r)
+			r.Step(&Synced{At: now, Sent: now, Reply: fleet.fullReply(t)}, nil)
+			for i := range 10 {
+				r.Step(newRead(RequestID(i), now), nil)
+			}
+			is.Equal(int(r.view.endpoints[otherRegionAddr].slots.Used()), c.want)
+			is.Equal(int(r.view.endpoints[thirdRegionAddr].slots.Used()), c.wantOthers)
+			if r.Waiting() == 0 {
+				return
+			}
+			var s *Send
+			for due := now; s == nil && due.Before(now.Add(1100*time.Millisecond)); due, _ = r.NextTick() {
+				s = findSend(r.Step(&Tick{At: due}, nil))
+			}
+			is.Equal(s.Endpoint, ident.Address(otherRegionAddr)) // the cap has a token again
+		})
+	}
+}
+
 // Guards against transfers above a link's rate, and against transfers that wait
 // forever because they exceed the burst.
 func TestTransferFollowsTheLinkShare(t *testing.T) {
--- a/entry/router/stats.go
+++ b/entry/router/stats.go
@@ -11,7 +11,7 @@
 	Queued     uint64 // requests that waited
 	Claims     uint64
 	Asked      uint64 // session exchanges requested with RequestSync
-	Shifted    uint64 // requests that a shift moved
+	Shifted    uint64 // requests that a shift moved, or that counted against its cap when they spilled
 	Spilled    uint64 // attempts sent to another region
 	Throttled  uint64 // transfers that had to wait
 	Rate       uint64 // refusals by error code, up to Other
