entry/balancer: a quiet span of an upstream that the registry lost sight of is kept

What callers saw: nothing yet; found by reading. Cause: SetQuiet knew registered runs only, and what is carried over to the next run at an address did not say that it returns. Change: the notice of a dropped run is kept, of the newest run only; after a carried span the run gets one request at a time. Result: TestQuietSpanOfDroppedUpstream ("unrestricted != quiet") and TestOneRequestAfterCarriedQuietSpan failed before; the package passes with -race.

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -75,7 +75,7 @@
 	assignments   protocol.Assignments // from the leader
 	utilization   protocol.Utilization // last reported by the leader
 	utilizationAt time.Time
-	departed      map[registry.UpstreamID]departedNotice
+	departed      map[registry.UpstreamID]*departedNotice
 }
 
 // service holds the upstreams of one service and the mean service times of its requests.
--- a/entry/balancer/notice.go
+++ b/entry/balancer/notice.go
@@ -67,7 +67,7 @@
 
 // forNextRun returns what holds for the next run of the upstream at the same address.
 func (n *notice) forNextRun() notice {
-	next := notice{quietAsked: n.quietAsked, quietUntil: n.quietUntil}
+	next := notice{quietAsked: n.quietAsked, quietUntil: n.quietUntil, returning: !n.quietUntil.IsZero()}
 	if latest := n.quietAsked.Add(maxCarriedQuiet); latest.Before(next.quietUntil) {
 		next.quietUntil = latest
 	}
@@ -104,12 +104,15 @@
 	for id, u := range previous {
 		if b.upstreams[id] == nil && (u.leaving || !u.quietUntil.IsZero()) {
 			if b.departed == nil {
-				b.departed = map[registry.UpstreamID]departedNotice{}
+				b.departed = map[registry.UpstreamID]*departedNotice{}
 			}
-			b.departed[id] = departedNotice{u.notice, u.StartedAt, u.Address, now}
+			b.departed[id] = &departedNotice{u.notice, u.StartedAt, u.Address, now}
 		}
 	}
 	for id, d := range b.departed {
+		if d.departedAt.IsZero() {
+			d.departedAt = now
+		}
 		u := b.upstreams[id]
 		if u != nil && u.StartedAt == d.startedAt && u.Address == d.address {
 			u.notice = d.notice
@@ -128,6 +131,28 @@
 	return nil
 }
 
+// noticeOf returns the notice of a run that is registered or may announce itself again, and otherwise nil.
+func (b *Balancer) noticeOf(run registry.Upstream) *notice {
+	if b.upstreams[run.ID] != nil {
+		if u := b.registeredRun(run); u != nil {
+			return &u.notice
+		}
+		return nil
+	}
+	d := b.departed[run.ID]
+	switch {
+	case d == nil || d.startedAt < run.StartedAt:
+		d = &departedNotice{startedAt: run.StartedAt, address: run.Address}
+		if b.departed == nil {
+			b.departed = map[registry.UpstreamID]*departedNotice{}
+		}
+		b.departed[run.ID] = d
+	case d.startedAt != run.StartedAt || d.address != run.Address:
+		return nil
+	}
+	return &d.notice
+}
+
 // MarkLeaving records that a run of an upstream leaves, so that it gets no new work whatever the registry says. It
 // reports whether that is news.
 func (b *Balancer) MarkLeaving(run registry.Upstream) bool {
@@ -142,15 +167,18 @@
 // SetQuiet records that a run of an upstream wants no requests for a span that begins now. A span never ends an earlier
 // one that lasts longer. It returns when this VM sends again, and whether that is news.
 func (b *Balancer) SetQuiet(now time.Time, run registry.Upstream, span time.Duration) (time.Time, bool) {
-	u := b.registeredRun(run)
-	if u == nil || span <= 0 {
+	if span <= 0 {
+		return time.Time{}, false
+	}
+	n := b.noticeOf(run)
+	if n == nil {
 		return time.Time{}, false
 	}
 	until := now.Add(span + b.returnDelay(now, run, span))
-	if !until.After(u.quietUntil) {
-		return u.quietUntil, false
+	if !until.After(n.quietUntil) {
+		return n.quietUntil, false
 	}
-	u.quietAsked, u.quietUntil, u.returning = now, until, true
+	n.quietAsked, n.quietUntil, n.returning = now, until, true
 	return until, true
 }
 
--- a/entry/balancer/notice_test.go
+++ b/entry/balancer/notice_test.go
@@ -118,6 +118,43 @@
 	is.True(mayGet(now.Add(maxCarriedQuiet)))
 }
 
+// Guards against requests within a span that an upstream asked for while the registry had lost sight of it.
+func TestQuietSpanOfDroppedUpstream(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	registered := testRegistry(1, "a1")
+	b := testBalancer(now, registered)
+	run := registered["a1-0"]
+	b.SetUpstreams(now, nil)
+	b.SetQuiet(now, run, 4*time.Second)
+	restarted := run
+	restarted.StartedAt++
+	b.SetQuiet(now, restarted, time.Second)
+	b.SetQuiet(now, run, time.Hour) // a late answer of the earlier run
+	b.SetUpstreams(now, map[registry.UpstreamID]registry.Upstream{run.ID: restarted})
+	is.Equal(b.RestrictionOf(now.Add(900*time.Millisecond), restarted), Quiet)
+	is.Equal(b.RestrictionOf(now.Add(2*time.Second), restarted), Unrestricted)
+}
+
+// Guards against a burst at a new run that has asked for a longer span than the one which is carried over to it.
+func TestOneRequestAfterCarriedQuietSpan(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	registered := testRegistry(1, "a1")
+	b := testBalancer(now, registered)
+	run := registered["a1-0"]
+	b.SetQuiet(now, run, time.Minute)
+	run.StartedAt++
+	registered["a1-0"] = run
+	b.SetUpstreams(now, registered)
+	now = now.Add(maxCarriedQuiet)
+	_, ok := b.Choose(now, &Query{Service: "s", LeaseNow: now})
+	is.True(ok)
+	b.RequestSent(now, run.ID)
+	_, ok = b.Choose(now, &Query{Service: "s", LeaseNow: now})
+	is.True(!ok)
+}
+
 // Guards against a burst at the end of a span: the upstream gets a second request once it has answered the first.
 func TestOneRequestAfterQuietSpan(t *testing.T) {
 	is := is.New(t)
