entry/router: an attempt is not sent once control has withdrawn or replaced its upstream

What callers saw: nothing yet; found by reading. Cause: Restricted, which is asked right before a send, called an upstream unrestricted where it did not know that incarnation. Change: an incarnation that is not announced is restricted, as on the platform's door. Result: TestAttemptAtWithdrawnUpstreamIsRestricted, removed and replaced, failed before ("not true: r.Restricted(...)"); passes with -race.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -40,7 +40,7 @@
 	// ConnectionLimit returns the maximum number of connections to an upstream, or false if there is
 	// no limit.
 	ConnectionLimit(a ident.Address) (ident.Connections, bool)
-	// Restricted reports whether an upstream must not get a request now, because it leaves or asked for quiet.
+	// Restricted reports whether an upstream must not get a request now, because it is gone, leaves or asked for quiet.
 	Restricted(at time.Time, a ident.Address, incarnation ident.Incarnation) bool
 	// Stats returns the counters.
 	Stats() router.Stats
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -44,7 +44,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.Router.Restricted(g.Clock.Now(), send.Endpoint, send.Incarnation) {
-		return errors.Errorf("upstream %s leaves or asked for a pause", send.Endpoint)
+		return errors.Errorf("upstream %s is gone, leaves or asked for a pause", send.Endpoint)
 	}
 	return nil
 }
--- a/entry/router/notice.go
+++ b/entry/router/notice.go
@@ -38,11 +38,11 @@
 	return r.dispatchAll(out) // requests that waited for the upstream must be refused if no other can serve them
 }
 
-// Restricted reports whether an upstream must not get a request now. A request that was chosen for it asks again right
-// before it is sent.
+// Restricted reports whether an incarnation of an upstream must not get a request now. A request that was chosen for it
+// asks again right before it is sent.
 func (r *Router) Restricted(at time.Time, a ident.Address, incarnation ident.Incarnation) bool {
 	e := r.view.endpoints[a]
-	return e != nil && e.incarnation == incarnation && (e.leaving || e.notice.restricts(at))
+	return e == nil || !e.announced || e.incarnation != incarnation || e.leaving || e.notice.restricts(at)
 }
 
 // earliestReturn returns when the first quiet upstream of a service returns, or false if one of them may get requests
--- a/entry/router/notice_test.go
+++ b/entry/router/notice_test.go
@@ -39,6 +39,26 @@
 	is.Equal(findSend(r.Step(newRead(3, epoch), nil)).Endpoint, ident.Address(sameDomainAddr))
 }
 
+// Guards against a request that was chosen for an upstream and is sent after control has withdrawn or replaced it.
+func TestAttemptAtWithdrawnUpstreamIsRestricted(t *testing.T) {
+	for name, change := range map[string]func(*testFleet){
+		"removed":  func(f *testFleet) { f.upstreams = f.upstreams[1:] },
+		"replaced": func(f *testFleet) { f.upstreams[0].Incarnation++ },
+		"leaving":  func(f *testFleet) { f.upstreams[0].Leaving = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fleet, r := noticeRouter(t)
+			send := findSend(r.Step(newRead(1, epoch), nil))
+			is.Equal(send.Endpoint, ident.Address(sameDomainAddr))
+			is.True(!r.Restricted(epoch, send.Endpoint, send.Incarnation))
+			change(fleet)
+			r.Step(&Synced{At: epoch, Sent: epoch, Reply: fleet.fullReply(t)}, nil)
+			is.True(r.Restricted(epoch, send.Endpoint, send.Incarnation))
+		})
+	}
+}
+
 // Guards against requests within a quiet span, and against requests that wait for nothing while all upstreams are quiet
 // for longer than they can wait.
 func TestQuietNotice(t *testing.T) {
