entry/gateway: a refusal whose body never ends is passed on at once

What callers saw: on README's door, an upstream that refused a request as not run and did not complete the response's body kept the caller waiting until its deadline (2 s in the test), while another upstream could have served the request. Cause: the rest of the refusal was read before the attempt ended, so that the connection could be reused. Change: the body is dropped only if the whole of it has been received; otherwise the connection is closed.

--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -368,9 +368,12 @@
 // HasBuffered reports whether received bytes of the response are waiting in memory.
 func (x *Exchange) HasBuffered() bool { return x.conn.reader.Buffered() > 0 }
 
-// Discard reads and drops up to limit bytes of the rest of the response.
-func (x *Exchange) Discard(limit int64) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(x, limit))
+// DiscardReceived drops the response's body if the whole of it has been received, so that the connection can be reused. It
+// does not wait for an upstream that sends the rest late or never.
+func (x *Exchange) DiscardReceived() {
+	if x.Length > 0 && x.Length <= int64(x.conn.reader.Buffered()) {
+		_, _ = io.Copy(io.Discard, x)
+	}
 }
 
 // Trailer returns the trailer fields of a complete response.
--- a/entry/gateway/notice_test.go
+++ b/entry/gateway/notice_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"testing"
 	"time"
@@ -43,3 +46,29 @@
 		})
 	}
 }
+
+// Guards against a caller that waits until its deadline for the end of a refusal which its upstream never completes.
+func TestRefusalWithoutAnEndIsPassedOnAtOnce(t *testing.T) {
+	for name, field := range map[string]string{"length": "Content-Length", "chunks": "Trailer"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(field, "9")
+				w.Header().Set("Cuminfall-Run", "not-run")
+				w.Header().Set("Retry-After", "30")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, "b")
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			}))
+			t.Cleanup(s.Close)
+			b := newHarness(t, map[string]string{"forecast": s.Listener.Addr().String()}, 0)
+			startedAt := time.Now()
+			response, _, err := b.do(b.request("GET", "/forecast/a", nil))
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(response.Header.Get("Cuminfall-Run"), "not-run")
+			is.True(time.Since(startedAt) < time.Second)
+		})
+	}
+}
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -169,7 +169,7 @@
 			g.endAttempt(c, router.Broken, x.Elapsed)
 			return false
 		}
-		x.Discard(maxPrereadBody)
+		x.DiscardReceived()
 		x.Close()
 		g.endAttempt(c, router.Shed, x.Elapsed)
 		return false
