entry/forward: the longest of several Retry-After fields counts

What callers saw: nothing yet; found by reading. Change: QuietSpan returns the longest span and the first error. Result: three new cases of TestQuietSpan failed before ("1s != 4s" twice, "0s != 3s"); passes with -race.

--- a/entry/forward/notice_test.go
+++ b/entry/forward/notice_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,11 +96,17 @@
 		{"inf", "", MaxQuiet, true},
 		{"1e400", "", MaxQuiet, true},
 		{"99999999999", "", MaxQuiet, true},
+		{"1\n4\n2", "", 4 * time.Second, false},
+		{"soon\n4", "", 4 * time.Second, true},
+		{"Tue, 01 Jan 2030 00:00:07 GMT\n2", "", 7 * time.Second, false},
+		{"0\n3", "", 3 * time.Second, false},
 	} {
 		t.Run(c.text, func(t *testing.T) {
 			is := is.New(t)
 			h := http.Header{}
-			h.Set("Retry-After", c.text)
+			for _, line := range strings.Split(c.text, "\n") {
+				h.Add("Retry-After", line)
+			}
 			h.Set("Date", c.date)
 			span, err := QuietSpan(h, now)
 			is.Equal(span, c.span)
--- a/entry/forward/retryafter.go
+++ b/entry/forward/retryafter.go
@@ -21,10 +21,27 @@
 )
 
 // QuietSpan returns the span of a response's Retry-After field, which holds seconds, also with a fraction, or a date. It
-// returns 0 without the field. For a value that cannot be used it returns a bounded span in its place and an error with
-// the value. A date counts from the response's Date field, and from now if that is missing.
+// returns 0 without the field, and the longest span of several fields. For a value that cannot be used it takes a bounded
+// span in its place and returns an error with the value. A date counts from the response's Date field, and from now if
+// that is missing.
 func QuietSpan(h http.Header, now time.Time) (time.Duration, error) {
-	text := strings.TrimSpace(h.Get("Retry-After"))
+	if sent, err := http.ParseTime(h.Get("Date")); err == nil {
+		now = sent
+	}
+	var longest time.Duration
+	var firstErr error
+	for _, text := range h["Retry-After"] {
+		span, err := parseRetryAfter(strings.TrimSpace(text), now)
+		longest = max(longest, span)
+		if firstErr == nil {
+			firstErr = err
+		}
+	}
+	return longest, firstErr
+}
+
+// parseRetryAfter returns the span of one value. A date counts from now.
+func parseRetryAfter(text string, now time.Time) (time.Duration, error) {
 	if text == "" {
 		return 0, nil
 	}
@@ -34,9 +51,6 @@
 		if dateErr != nil {
 			return fallbackQuiet, badRetryAfter(text, "expected seconds or a date")
 		}
-		if sent, dateErr := http.ParseTime(h.Get("Date")); dateErr == nil {
-			now = sent
-		}
 		seconds = end.Sub(now).Seconds()
 	}
 	switch {
