entry/gateway: an upstream that says in a response that it leaves is withdrawn at control

What callers saw: nothing yet; found by reading. Cause: the mark stayed in the router. Change: the gateway announces the upstream's incarnation as leaving to control in the background, as its own call to leave would; control's order of incarnations holds. The status then shows it as leaving.

--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/rpc"
 )
 
 // readHead passes on to the router what an upstream says about itself in the head of a response to an attempt.
@@ -36,6 +39,25 @@
 		entry = entry.WithError(err)
 	}
 	entry.Info("upstream wants no requests")
+	if after.Leaving != before.Leaving {
+		g.withdraw(send)
+	}
+}
+
+// withdrawTimeout limits the time in which control is told that an upstream leaves. An upstream that leaves as planned
+// tells it, too.
+const withdrawTimeout = 30 * time.Second
+
+// withdraw tells control in the background that the upstream of an attempt leaves, so that no VM sends to it.
+func (g *Gateway) withdraw(send *router.Send) {
+	u := &rpc.Upstream{Address: string(send.Endpoint), Incarnation: uint64(send.Incarnation), Leaving: true}
+	g.background.Add(1)
+	go func() {
+		defer g.background.Done()
+		if _, err := g.Control.Announce(context.Background(), g.Clock.Now().Add(withdrawTimeout), u); err != nil {
+			g.Log.WithField("event", "notice").WithField("upstream", u.Address).WithError(err).Warn("could not tell control that the upstream leaves")
+		}
+	}()
 }
 
 // checkRestriction returns an error if the upstream of an attempt must not get a request now. It is called right before
--- a/entry/gateway/notice_test.go
+++ b/entry/gateway/notice_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"cuminfall.example/fleet/rpc"
 )
 
 // Guards against new work for an upstream that said in a response that it leaves or wants no requests.
@@ -72,3 +76,18 @@
 		})
 	}
 }
+
+// Guards against other VMs and the status that go on with an upstream which told only this VM that it leaves.
+func TestLeavingUpstreamIsWithdrawnAtControl(t *testing.T) {
+	is := is.New(t)
+	u := &recordingUpstream{body: "ok", fields: map[string]string{"Cuminfall-Leaving": "1"}}
+	address := u.start(t)
+	b := newHarness(t, map[string]string{"forecast": address}, 0)
+	for range 2 {
+		_, _, err := b.do(b.request("GET", "/forecast/a", nil))
+		is.NoErr(err)
+	}
+	b.gateway.Wait(context.Background())
+	is.Equal(len(b.control.announced), 1)
+	is.True(proto.Equal(b.control.announced[0], &rpc.Upstream{Address: address, Incarnation: 1, Leaving: true}))
+}
