entry/proxy: final answers of a planned stop that begin late get their time

What callers saw: requests that still ran at the end of a planned stop's grace period ended without an answer (EOF), where they were to get 504 or 503 (LOST). TestRequestsAtTheEndOfAPlannedStopAreAnswered showed it once in a race run beside other work (load average 60): running, body and upload ended with EOF after 3.6 s, with a grace period of 3 s. Cause: the final answers 200 ms before the end and the end itself were two timers. On a VM that was starved or suspended then, both had expired when it went on: the server was closed before a final answer was written, and the final answers were often not begun at all. Change: the server is closed FinalAnswerTime after the final answers have begun, which is the end of the grace period unless they were late.

--- a/entry/proxy/run.go
+++ b/entry/proxy/run.go
@@ -105,12 +105,16 @@
 			return
 		}
 	}
-	shutdownCtx, cancel := context.WithTimeout(ctx, p.opts.GracePeriod-p.opts.Clock.Now().Sub(startedAt))
+	shutdownCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		if clock.Sleep(shutdownCtx, p.opts.Clock, shutdown.FinalAnswers(p.opts.GracePeriod)-p.opts.Clock.Now().Sub(startedAt)) == nil {
-			p.stop.endRunning()
+		defer cancel()
+		if clock.Sleep(shutdownCtx, p.opts.Clock, shutdown.FinalAnswers(p.opts.GracePeriod)-p.opts.Clock.Now().Sub(startedAt)) != nil {
+			return
 		}
+		p.stop.endRunning()
+		// Final answers that begin late, on a VM that was starved or suspended, get their time all the same.
+		_ = clock.Sleep(shutdownCtx, p.opts.Clock, shutdown.FinalAnswerTime)
 	}()
 	if err := listener.EndAccepting(shutdownCtx); err != nil {
 		p.opts.Log.WithField("event", "leave").WithError(err).Warn("callers that connect while the listener is closed may be reset")
--- a/entry/proxy/stop_test.go
+++ b/entry/proxy/stop_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"cuminfall.example/entry/follower"
+	"cuminfall.example/entry/shutdown"
 	"cuminfall.example/fleet/clock"
 )
 
@@ -29,8 +30,14 @@
 
 // newStoppable starts a proxy with one upstream. Its route once has the given timeout.
 func newStoppable(t *testing.T, timeout, drain, grace time.Duration, handler http.HandlerFunc) *stoppable {
+	t.Helper()
+	return newStoppableWithClock(t, clock.System{}, timeout, drain, grace, handler)
+}
+
+func newStoppableWithClock(t *testing.T, c clock.Clock, timeout, drain, grace time.Duration, handler http.HandlerFunc) *stoppable {
 	t.Helper()
 	s := &stoppable{fixture: newFixture(t, 0, handler), stopped: make(chan error, 1)}
+	s.opts.Clock = c
 	changed := *s.catalog
 	changed.Routes = maps.Clone(s.catalog.Routes)
 	route := changed.Routes["once"]
@@ -215,3 +222,38 @@
 	is.NoErr(<-s.stopped)
 	is.True(time.Since(stoppedAt) < grace+grace/25) // connections may linger until the end
 }
+
+// lateClock is the clock of a process that gets no processor time for a while when a timer of at least d expires.
+type lateClock struct {
+	clock.System
+	d, delay time.Duration
+}
+
+func (c lateClock) After(d time.Duration) <-chan time.Time {
+	if d >= c.d {
+		d += c.delay
+	}
+	return c.System.After(d)
+}
+
+// Guards against a planned stop that gives no final answers because the VM was starved or suspended when they were due.
+func TestFinalAnswersOfStarvedVM(t *testing.T) {
+	is := is.New(t)
+	const grace = time.Second
+	late := lateClock{d: shutdown.FinalAnswers(grace) - 400*time.Millisecond, delay: 700 * time.Millisecond}
+	s := newStoppableWithClock(t, late, 10*time.Second, 100*time.Millisecond, grace, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-r.Context().Done()
+		}
+	})
+	c := s.dial()
+	is.NoErr(c.send())
+	for end := time.Now().Add(5 * time.Second); s.upstreamRequests.Load() == 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+	s.stop()
+	response, err := c.receive()
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+	is.NoErr(<-s.stopped)
+}
--- a/entry/shutdown/shutdown.go
+++ b/entry/shutdown/shutdown.go
@@ -11,8 +11,8 @@
 	// the final answers. Few requests take three times as long as expected.
 	earlyLatencyFactor = 1.5
 	lateLatencyFactor  = 3
-	// finalAnswerTime is the end of the grace period in which requests that are still running get a final answer.
-	finalAnswerTime = 200 * time.Millisecond
+	// FinalAnswerTime is the end of the grace period in which requests that are still running get a final answer.
+	FinalAnswerTime = 200 * time.Millisecond
 )
 
 // Request describes a request, before it is sent to an upstream, during a graceful shutdown.
@@ -30,7 +30,7 @@
 
 // FinalAnswers returns the time since the beginning of a shutdown at which all requests that are still running get a
 // final answer.
-func FinalAnswers(grace time.Duration) time.Duration { return max(grace-finalAnswerTime, 0) }
+func FinalAnswers(grace time.Duration) time.Duration { return max(grace-FinalAnswerTime, 0) }
 
 // Decide decides whether a request is sent to an upstream during a shutdown with a grace period. A refused request has
 // not run, and its caller can repeat it at another VM at once.
