--- a/entry/gateway/cut_test.go
+++ b/entry/gateway/cut_test.go
@@ -22,6 +22,9 @@
 		{"interim", "GET", "/forecast/a", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
 		{"HEAD", "HEAD", "/forecast/a", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"},
 		{"no content", "GET", "/forecast/a", "HTTP/1.1 204 No Content\r\nX-Ref: 7\r\n\r\n"},
+		{"not modified", "GET", "/forecast/a", "HTTP/1.1 304 Not Modified\r\nX-Ref: 7\r\nContent-Length: 12\r\n\r\n"},
+		{"status line only", "POST", "/claims/a", "HTTP/1.1 200 OK\r\n\r\n"},
+		{"HTTP/1.0", "GET", "/forecast/a", "HTTP/1.0 200 OK\r\nX-Ref: 7\r\n\r\nhello, world"},
 	} {
 		for end, reset := range map[string]bool{"closed": false, "reset": true} {
 			t.Run(c.name+" "+end, func(t *testing.T) {
@@ -43,7 +46,7 @@
 					for range requests {
 						r := b.request(c.method, c.path, http.NoBody, "Idempotency-Key: "+fmt.Sprint(n))
 						response, body, err := b.do(r)
-						if err == nil && response.StatusCode/100 == 2 {
+						if err == nil && (response.StatusCode/100 == 2 || response.StatusCode == http.StatusNotModified) {
 							t.Errorf("%q became %d %q", c.text[:n], response.StatusCode, body)
 						}
 					}
--- a/entry/proxy/cut_test.go
+++ b/entry/proxy/cut_test.go
@@ -25,6 +25,9 @@
 		{"bare line feeds", "GET", "HTTP/1.1 200 OK\nX-Id: id\nX-Stamp: s\n\n", "hello, world", true},
 		{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\n" + idAndStamp + "Content-Length: 12\r\n\r\n", "", false},
 		{"no content", "GET", "HTTP/1.1 204 No Content\r\n" + idAndStamp + "\r\n", "", false},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\n" + idAndStamp + "Content-Length: 12\r\n\r\n", "", false},
+		{"status line only", "POST", "HTTP/1.1 200 OK\r\n\r\n", "", false},
+		{"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\n" + idAndStamp + "\r\n", "hello, world", true},
 	} {
 		for end, reset := range map[string]bool{"closed": false, "reset": true} {
 			t.Run(c.name+" "+end, func(t *testing.T) {
@@ -49,7 +52,7 @@
 					}
 					status, body, err := fx.send(c.method, path)
 					unframedEnd := c.unframed && !reset && size >= len(c.head)
-					if err == nil && status/100 == 2 && (!unframedEnd || !strings.HasSuffix(text[:size], body)) {
+					if err == nil && (status/100 == 2 || status == http.StatusNotModified) && (!unframedEnd || !strings.HasSuffix(text[:size], body)) {
 						t.Errorf("%q became %d %q", text[:size], status, body)
 					}
 				}
--- a/entry/proxy/notice_test.go
+++ b/entry/proxy/notice_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -142,24 +143,32 @@
 	}
 }
 
-// Guards against taking a late response to another request for news about the upstream.
+// Guards against taking a late response to another request for news about the upstream: one that names that request, or a
+// copy without an ID on a connection in use again.
 func TestForeignResponseMarksNothing(t *testing.T) {
-	is := is.New(t)
-	var n atomic.Int32
-	fx := newFixture(t, 0, counted(&n, func(w http.ResponseWriter, r *http.Request) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nX-Id: earlier\r\nX-Leaving: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
-	}))
-	for range 3 {
-		response, _ := fx.post("/safe/", "", "key")
-		is.Equal(response.StatusCode, http.StatusOK)
+	for name, id := range map[string]string{"with an ID": "X-Id: earlier\r\n", "without an ID": ""} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var connections, copies atomic.Int32
+			fx := newFixture(t, 0, func(w http.ResponseWriter, r *http.Request) {
+				requests := 0
+				connections.Add(1)
+				serveRaw(t, func(c net.Conn, r *http.Request) {
+					if requests++; requests == 2 {
+						copies.Add(1)
+						_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\n"+id+"X-Not-Run: 1\r\nX-Leaving: 1\r\nRetry-After: 60\r\nContent-Length: 0\r\n\r\n")
+					}
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+				})(w, r)
+			})
+			for _, object := range []string{"a", "b", "c", "d"} {
+				response, _ := fx.post("/safe/"+object, "", "key")
+				is.Equal(response.StatusCode, http.StatusOK)
+			}
+			is.Equal(connections.Load(), int32(2)) // the one with a copy is not used again
+			is.Equal(copies.Load(), int32(2))
+		})
 	}
-	is.Equal(n.Load(), int32(3))
 }
 
 // Guards against requests that were chosen for an upstream before it withdrew, and reach it after that: they waited for a
--- a/entry/proxy/refusal_test.go
+++ b/entry/proxy/refusal_test.go
@@ -67,12 +67,20 @@
 	return response, body, runs
 }
 
-// refusalTexts are refusals with and without the request's ID.
+// refusalTexts are refusals with and without the request's ID. One with a body is also sent without it, as the answer to
+// a HEAD request is.
 func refusalTexts() map[string]string {
 	texts := map[string]string{}
 	for _, status := range []int{400, 408, 421, 429, 503} {
 		for name, id := range map[string]string{"with its ID": "X-Id: id-/once/a\r\n", "without an ID": ""} {
-			texts[fmt.Sprint(status, " ", name)] = fmt.Sprintf("HTTP/1.1 %d Refused\r\n%sX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+			for framing, rest := range map[string]string{
+				"empty": "Content-Length: 0\r\n\r\n", "length": "Content-Length: 4\r\n\r\nbusy", "length of HEAD": "Content-Length: 4\r\n\r\n",
+				"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n", "unframed": "\r\n", "unframed body": "\r\nbusy\r\n\r\n",
+			} {
+				for _, version := range []string{"1.1", "1.0"} {
+					texts[fmt.Sprint(status, " ", name, ", ", framing, ", HTTP/", version)] = fmt.Sprintf("HTTP/%s %d Refused\r\n%sX-Not-Run: 1\r\n%s", version, status, id, rest)
+				}
+			}
 		}
 	}
 	return texts
--- a/entry/proxy/stop_test.go
+++ b/entry/proxy/stop_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -223,6 +224,88 @@
 	is.True(time.Since(stoppedAt) < grace+grace/25) // connections may linger until the end
 }
 
+// Guards against requests that a planned stop in calm takes late in its grace period, passes on and then cuts, and against
+// "not run" for one that an upstream has.
+func TestRequestsThroughoutAPlannedStopAreAnswered(t *testing.T) {
+	const grace, parts, usualLatency = 3 * time.Second, 10, 250 * time.Millisecond
+	const size = 64 << 10
+	half := strings.Repeat("x", size/2)
+	kinds := []struct{ name, path, fields, first, rest string }{
+		{"unsafe", "/once/", "Content-Length: 2\r\n\r\nab", "", ""},
+		{"safe", "/safe/", "Content-Length: 2\r\n\r\nab", "", ""},
+		{"chunked", "/once/", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", "", "0\r\n\r\n"},
+		{"slow body", "/once/", "Content-Length: 2\r\n\r\na", "", "b"},
+		{"upload", "/once/", fmt.Sprintf("Content-Length: %d\r\n\r\n", size), half + half, ""},
+		{"slow upload", "/once/", fmt.Sprintf("Content-Length: %d\r\n\r\n", size), half, half},
+	}
+	var mu sync.Mutex
+	reached := map[string]bool{} // by request ID
+	s := newStoppable(t, 10*time.Second, 300*time.Millisecond, grace, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		reached[r.Header.Get("X-Id")] = true
+		mu.Unlock()
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		time.Sleep(usualLatency)
+		answerOK(w, r)
+	})
+	for range 12 { // the proxy learns the usual latency
+		c := s.dial()
+		is.New(t).NoErr(c.send())
+		_, err := c.receive()
+		is.New(t).NoErr(err)
+		_ = c.Close()
+	}
+	var callers sync.WaitGroup
+	begin := make(chan struct{})
+	var stoppedAt time.Time
+	statuses := map[string]map[int]int{}
+	for part := range parts {
+		for _, k := range kinds {
+			id := fmt.Sprintf("%s-%d", strings.ReplaceAll(k.name, " ", "-"), part)
+			c := s.dial()
+			write := func(text string) { _, _ = io.WriteString(c, text) } // what follows shows whether it failed
+			write(fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: 20000\r\nAuthorization: key\r\n", k.path, id, id))
+			callers.Go(func() {
+				defer func() { _ = c.Close() }()
+				<-begin
+				time.Sleep(time.Until(stoppedAt.Add(time.Duration(part) * grace / parts)))
+				write(k.fields)
+				write(k.first)
+				if k.rest != "" {
+					time.Sleep(grace / parts * 2)
+					write(k.rest)
+				}
+				response, err := c.receive()
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					t.Errorf("%s: %v; reached the upstream: %v", id, err, reached[id])
+					return
+				}
+				if statuses[k.name] == nil {
+					statuses[k.name] = map[int]int{}
+				}
+				statuses[k.name][response.StatusCode]++
+				if reached[id] != (response.StatusCode == http.StatusOK) {
+					t.Errorf("%s reached the upstream: %v, and got status %d", id, reached[id], response.StatusCode)
+				}
+			})
+		}
+	}
+	time.Sleep(100 * time.Millisecond) // the heads arrive
+	stoppedAt = time.Now()
+	s.stop()
+	close(begin)
+	callers.Wait()
+	is.New(t).NoErr(<-s.stopped)
+	t.Log(statuses)
+	for _, k := range kinds {
+		is.New(t).True(statuses[k.name][http.StatusOK] > 0)
+	}
+}
+
 // lateClock is the clock of a process that gets no processor time for a while when a timer of at least d expires.
 type lateClock struct {
 	clock.System
