entry/router: callers that a pause of all upstreams refuses do not return together

What callers saw: nothing yet; found by reading. Change: the wait until the first return gets up to a quarter, at most one second, that differs between consecutive requests. TestQuietNotice asked for exactly the first return; it asks now for that at least, one second more at most, and at least five different moments of ten. Result: TestQuietNotice failed before ("not true: len(returns) >= 5"); entry/router passes with -race.

--- a/entry/router/notice.go
+++ b/entry/router/notice.go
@@ -68,10 +68,23 @@
 		return nil
 	}
 	f := notExecuted(fault.Busy, "dispatch", string(q.service.Name), "all upstreams asked for a pause")
-	f.RetryAfter = earliest.Sub(r.now)
+	f.RetryAfter = earliest.Sub(r.now) + returnSpread(q.id, earliest.Sub(r.now))
 	return f
 }
 
+// Refused callers return within a part of their wait, at most maxReturnSpread, after the first upstream has returned.
+const (
+	returnSpreadPart = 0.25
+	maxReturnSpread  = time.Second
+)
+
+// returnSpread returns a time up to that limit which is different for consecutive requests.
+func returnSpread(id RequestID, wait time.Duration) time.Duration {
+	const goldenRatio = 0x9E3779B97F4A7C15 // of 2^64; its multiples are spread evenly
+	longest := min(time.Duration(returnSpreadPart*float64(wait)), maxReturnSpread)
+	return time.Duration(float64(longest) * (float64(uint64(id)*goldenRatio>>11) / (1 << 53)))
+}
+
 // nextReturn returns when the first upstream ends its quiet span, of services with waiting requests.
 func (r *Router) nextReturn() time.Time {
 	next := r.now.Add(time.Hour)
