entry/forward: an upstream's time limit leaves time for its answer to return

What callers saw: 504 of the VM where the upstream had an answer of its own, among them refusals of requests that had waited in its queue until their time limit. Cause: the upstream got all of the time until the VM's deadline, so that an answer at its limit and the VM's giving up crossed. Change: the time limit that is sent ends a round trip, as opening a connection took, and 5 ms earlier. No answer that could have arrived is lost. Passes with -race.

--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -100,7 +100,7 @@
 // instead.
 func (x *Exchange) send() error {
 	r := x.request
-	x.conn.headBuf = x.wireFormat().appendHead(x.conn.headBuf[:0], r, x.id, r.Deadline.Sub(x.conn.now()))
+	x.conn.headBuf = x.wireFormat().appendHead(x.conn.headBuf[:0], r, x.id, max(r.Deadline.Sub(x.conn.now())-x.conn.pool.returnTime(), time.Millisecond))
 	body := r.Body
 	if r.Stream == nil && len(body) > 0 {
 		if err := x.throttle(len(body), false); err != nil {
--- a/entry/forward/head.go
+++ b/entry/forward/head.go
@@ -125,8 +125,8 @@
 // carriesID reports whether a response's head carries the ID of any request.
 func (f *WireFormat) carriesID(h http.Header) bool { return len(f.echoedIDs(h)) > 0 }
 
-// appendHead appends the head of r to b. It does not check the caller's values, because net/http's
-// server has already rejected line ends and other control characters in them.
+// appendHead appends the head of r to b, with the time that the upstream gets. It does not check the
+// caller's values, because net/http's server has already rejected line ends and other control characters in them.
 func (f *WireFormat) appendHead(b []byte, r *Request, id attemptID, remaining time.Duration) []byte {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
--- a/entry/forward/notice_test.go
+++ b/entry/forward/notice_test.go
@@ -114,3 +114,35 @@
 		})
 	}
 }
+
+// Guards against a refusal that arrives when the request has just been given up: a distant upstream sends it at its time
+// limit, for a request that waited in its queue until then.
+func TestRefusalAtTheTimeLimitIsRead(t *testing.T) {
+	const timeout, roundTrip = 2 * time.Second, 1200 * time.Millisecond
+	u := newUpstream(t, func(u *fakeUpstream, conn net.Conn, in *bufio.Reader, _ int32) {
+		for _, answer := range []string{"200 OK", "503 Busy"} {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if answer == "503 Busy" {
+				limit, err := time.ParseDuration(r.Header.Get("X-Left") + "ms")
+				u.NoErr(err)
+				time.Sleep(roundTrip/2 + limit) // half of it on each way
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", answer, r.Header.Get("X-Id"))
+		}
+	})
+	client := New(Options{ClientID: 1, WireFormat: &WireFormat{TimeoutHeader: "X-Left", RequestIDHeader: "X-Id"}})
+	defer client.Close()
+	client.Update([]Endpoint{{Address: u.address, Incarnation: 1, MaxConnections: 1}})
+	for i, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		request := u.request("/", timeout)
+		request.Header = http.Header{"X-Id": {fmt.Sprint(i)}}
+		x, err := client.Do(context.Background(), request)
+		u.NoErr(err)
+		u.Equal(x.Status, status)
+		x.Close()
+		client.findPool(request).roundTrip.Store(int64(roundTrip))
+	}
+}
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,8 +26,30 @@
 	idle      []*conn
 	retired   bool
 	previous  *pool // pool of the earlier incarnation while that has open connections
+
+	roundTrip atomic.Int64 // shortest time that opening a connection took, in nanoseconds; 0 if none was opened
 }
 
+const (
+	// maxRoundTrip bounds the round trip time that is taken from one connection, which a lost packet or a busy upstream
+	// may have held up.
+	maxRoundTrip = 200 * time.Millisecond
+	// returnMargin is added to the round trip time for delays within this process.
+	returnMargin = 5 * time.Millisecond
+)
+
+// recordRoundTrip records how long opening a connection took, which includes one round trip.
+func (p *pool) recordRoundTrip(elapsed time.Duration) {
+	shortest := p.roundTrip.Load()
+	if elapsed = min(elapsed, maxRoundTrip); shortest == 0 || int64(elapsed) < shortest {
+		p.roundTrip.Store(int64(elapsed))
+	}
+}
+
+// returnTime returns by how much an upstream's time limit ends before the deadline of a request. A response that it sends
+// at its limit, such as a refusal of a request which waited in its queue until then, still arrives in time.
+func (p *pool) returnTime() time.Duration { return time.Duration(p.roundTrip.Load()) + returnMargin }
+
 func (p *pool) setLimit(n int) {
 	p.mu.Lock()
 	p.maxOpen = n
@@ -121,6 +144,7 @@
 		p.client.Stats.Limited.Add(1)
 		return nil, newFailure(ConnectFailed, false, p.address, fault.Busy, "connection limit reached")
 	}
+	startedAt := p.client.clock.Now()
 	raw, err := p.connect(ctx, deadline)
 	if err != nil {
 		p.release()
@@ -129,6 +153,7 @@
 		}
 		return nil, newFailure(ConnectFailed, false, p.address, fault.Unreachable, err.Error())
 	}
+	p.recordRoundTrip(p.client.clock.Now().Sub(startedAt))
 	p.client.Stats.Dialed.Add(1)
 	c, err := newConn(p, raw)
 	if err != nil {
