entry/proxy: a request that cannot be answered in time any more takes no retry

What callers saw: nothing themselves; an idempotent request that an upstream failed at its time limit took a retry from its service's budget and was refused right afterwards, as no time was left. Since time limits end a round trip before the deadline, most such failures arrive in time. Cause: the budget was asked before the remaining time. Change: no retry if less time is left than an answer takes.

--- a/entry/proxy/notice_test.go
+++ b/entry/proxy/notice_test.go
@@ -360,3 +360,25 @@
 		})
 	}
 }
+
+// Guards against retries that use up the budget and cannot be answered: an upstream fails a request at its time limit,
+// shortly before the caller's.
+func TestFailureAtTheTimeLimitIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		left, err := strconv.Atoi(r.Header.Get("X-Left"))
+		if err != nil || r.URL.Path != "/safe/slow" {
+			answerOK(w, r)
+			return
+		}
+		time.Sleep(time.Duration(left) * time.Millisecond)
+		w.Header().Set("X-Stamp", "s")
+		w.WriteHeader(http.StatusGatewayTimeout)
+	}
+	fx := newFixture(t, 0, handler, handler)
+	for range 3 {
+		_, _ = fx.post("/safe/", "", "key")
+	}
+	_, _ = fx.post("/safe/slow", "", "key")
+	is.Equal(fx.metrics.retried.Count(), int64(0))
+}
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -333,8 +333,9 @@
 	return p.outOfRegionSends.PerSecond(now) < maxOutOfRegionShare*p.sends.PerSecond(now)
 }
 
-// takeRetry reports whether the request may be sent once more after the given number of sends. If so, it takes one retry
-// from the service's budget and, if the request may have run, one request of the workspace's allowance.
+// takeRetry reports whether the request may be sent once more after the given number of sends, and could then be answered
+// in time. If so, it takes one retry from the service's budget and, if the request may have run, one request of the
+// workspace's allowance.
 func (c *call) takeRetry(sends int) bool {
 	p := c.proxy
 	if sends >= max(c.route.MaxAttempts, 1) {
@@ -343,6 +344,9 @@
 	now := p.opts.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if c.deadline.Sub(now) <= p.balancer.BestServiceTime(now, c.service, c.affinityObject() != "") {
+		return false
+	}
 	if c.mayHaveRun && c.workspace != "" {
 		// A second run counts against the workspace's rate like the first.
 		leaseNow := p.opts.LeaseClock.Now()
