--- a/entry/balancer/notice.go
+++ b/entry/balancer/notice.go
@@ -67,7 +67,7 @@
 
 // forNextRun returns what holds for the next run of the upstream at the same address.
 func (n *notice) forNextRun() notice {
-	next := notice{quietAsked: n.quietAsked, quietUntil: n.quietUntil, returning: !n.quietUntil.IsZero()}
+	next := notice{quietAsked: n.quietAsked, quietUntil: n.quietUntil, returning: n.returning}
 	if latest := n.quietAsked.Add(maxCarriedQuiet); latest.Before(next.quietUntil) {
 		next.quietUntil = latest
 	}
