control/coordinator: an evacuation's order that a paused member holds does not undo a later one

A member that had received the begin of an evacuation and was paused or cut off sent it to the leader when it went on. Operators repeat an order at another member after a second, so the begin and the finish could be acknowledged in between, and the domain then stayed out of use although its end had been acknowledged. Orders of evacuations carry no version, unlike changes, announcements and reports.

A member now asks the leader for the committed index when the order comes and sends it along. The leader replicates one such order at a time, and only if no other one about the domain was committed at or after that index. If the domain is as ordered, the order is acknowledged; otherwise it is refused as not run with 503, and the operator repeats it. An order that was held for over 0.9 s by the clock since boot is refused as well. The check is the leader's, before the log, so that members of different builds reach the same state.

Evidence: TestDrainOfPausedMemberDoesNotUndoLaterOrder holds the order at the connection to the leader.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -59,6 +59,7 @@
 	opts   Options
 	client protocol.Client
 	floor  registryFloor
+	drains drainQueue
 
 	mu             sync.Mutex
 	term           ident.Term // that this member leads; 0 if it is not the leader
@@ -80,7 +81,7 @@
 
 // New returns a Coordinator with the given options. It does nothing until Serve or Run is called.
 func New(o Options) *Coordinator {
-	return &Coordinator{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, lastReports: map[ident.VM]time.Time{}, downSince: map[ident.VM]time.Time{},
+	return &Coordinator{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, drains: newDrainQueue(), lastReports: map[ident.VM]time.Time{}, downSince: map[ident.VM]time.Time{},
 		lastSeen: map[registry.UpstreamID]time.Time{}, unforwarded: map[registry.UpstreamID]time.Time{}}
 }
 
@@ -104,6 +105,9 @@
 		if err == nil {
 			return reply.Result, nil
 		}
+		if fault.Of(err).Code == fault.Stale {
+			return registry.Result{}, err
+		}
 		// Applying a command twice does no harm, so it is retried even if the result of an attempt is unknown.
 		if clock.Sleep(ctx, c.opts.Clock, commandRetryInterval) != nil {
 			return registry.Result{}, err
@@ -123,9 +127,17 @@
 
 // proposeLocally replicates a command as the leader, unless it is an announcement that would change nothing.
 func (c *Coordinator) proposeLocally(ctx context.Context, data []byte) (protocol.ProposeReply, error) {
-	if c.isKnownAnnouncement(data) {
+	cmd, err := registry.Decode(data)
+	if err == nil && cmd.Join != nil && !c.wouldChange(*cmd.Join) {
 		return protocol.ProposeReply{}, nil
 	}
+	if err == nil && cmd.Drain != nil {
+		done, err := c.drains.begin(ctx, c.opts.StateMachine, *cmd.Drain)
+		if done == nil {
+			return protocol.ProposeReply{}, err
+		}
+		defer done()
+	}
 	result, err := c.opts.Replica.Propose(ctx, data)
 	if err != nil {
 		return protocol.ProposeReply{}, err
@@ -148,17 +160,12 @@
 	return err
 }
 
-// isKnownAnnouncement reports whether a command is an announcement that would not change the registry. A member that
-// has just started has an incomplete registry and forwards the announcements of all upstreams. Without this check,
-// entry VMs on slow links would have to follow each of them.
-func (c *Coordinator) isKnownAnnouncement(data []byte) bool {
-	cmd, err := registry.Decode(data)
-	if err != nil || cmd.Join == nil {
-		return false // the state machine rejects commands that cannot be decoded
-	}
-	changesRegistry := true
-	c.opts.StateMachine.view(func(r *registry.Registry) { changesRegistry = r.WouldChange(*cmd.Join) })
-	return !changesRegistry
+// wouldChange reports whether an announcement would change the registry. A member that has just started has an incomplete
+// registry and forwards the announcements of all upstreams. Without this check, entry VMs on slow links would have to
+// follow each of them.
+func (c *Coordinator) wouldChange(u registry.Upstream) (changes bool) {
+	c.opts.StateMachine.view(func(r *registry.Registry) { changes = r.WouldChange(u) })
+	return changes
 }
 
 // remoteLeader returns the address of the leader, or nothing if there is none or this member is the leader.
@@ -185,11 +192,6 @@
 	return c.Submit(ctx, registry.Command{Change: change})
 }
 
-// Drain takes a failure domain out of use or back into use.
-func (c *Coordinator) Drain(ctx context.Context, d registry.Drain) (registry.Result, error) {
-	return c.Submit(ctx, registry.Command{Drain: &d})
-}
-
 // Announce records the state that an upstream announces about itself. It returns once any change is durable. It returns an
 // error if this member knows no leader, to which it could report that the upstream is alive; the upstream then
 // announces itself to another member.
@@ -198,9 +200,7 @@
 		return fault.New(fault.NotLeader, "announce", string(c.opts.Address), "no leader is known")
 	}
 	now := c.opts.Clock.Now()
-	changesRegistry := false
-	c.opts.StateMachine.view(func(r *registry.Registry) { changesRegistry = r.WouldChange(u) })
-	if changesRegistry {
+	if c.wouldChange(u) {
 		if _, err := c.Submit(ctx, registry.Command{Join: &u}); err != nil {
 			return err
 		}
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -34,6 +34,7 @@
 	seeds   []ident.Address
 	// snapshotEvery is the number of entries between snapshots; 0 means the default.
 	snapshotEvery int
+	clock         clock.Clock // nil means clock.BootTime
 	cancel        context.CancelFunc
 	done          chan error
 }
@@ -42,12 +43,15 @@
 	m.t.Helper()
 	log := &process.EventLog{FieldLogger: process.NewLogger(io.Discard, "info"), Clock: clock.System{}}
 	machine := NewStateMachine(log)
+	if m.clock == nil {
+		m.clock = clock.BootTime{}
+	}
 	r, err := replica.Open(replica.Options{Name: string(m.address), Address: m.address, Folder: m.folder, Disk: m.disk, Peers: m.seeds,
 		StateMachine: machine, Clock: clock.BootTime{}, Log: log, ReplaceSilentVoters: true, SnapshotEvery: m.snapshotEvery})
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	m.Coordinator = New(Options{Replica: r, StateMachine: machine, Clock: clock.BootTime{}, Log: log, Address: m.address,
+	m.Coordinator = New(Options{Replica: r, StateMachine: machine, Clock: m.clock, Log: log, Address: m.address,
 		Regions: map[ident.Domain]ident.Region{"d": "r"}})
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel, m.done = cancel, make(chan error, 1)
--- a/control/coordinator/statemachine.go
+++ b/control/coordinator/statemachine.go
@@ -22,12 +22,14 @@
 type StateMachine struct {
 	log *process.EventLog
 
-	mu       sync.Mutex
-	registry *registry.Registry
-	entries  []protocol.LogEntry // consecutive commands, oldest first
-	base     ident.Index         // followers at or after this index can be served from entries
-	changed  chan struct{}       // closed and replaced at each change
-	cached   cachedState
+	mu           sync.Mutex
+	registry     *registry.Registry
+	entries      []protocol.LogEntry // consecutive commands, oldest first
+	base         ident.Index         // followers at or after this index can be served from entries
+	changed      chan struct{}       // closed and replaced at each change
+	cached       cachedState
+	drainedAt    map[ident.Domain]ident.Index // last command about a domain's drain
+	drainedFloor ident.Index                  // drainedAt of domains that it does not hold
 }
 
 // cachedState is the encoded registry at an index, cached because all VMs request it at once after a common restart.
@@ -43,7 +45,7 @@
 
 // NewStateMachine returns a state machine with an empty registry.
 func NewStateMachine(log *process.EventLog) *StateMachine {
-	return &StateMachine{log: log, registry: registry.New(), changed: make(chan struct{})}
+	return &StateMachine{log: log, registry: registry.New(), changed: make(chan struct{}), drainedAt: map[ident.Domain]ident.Index{}}
 }
 
 // Apply implements replica.StateMachine.
@@ -58,6 +60,9 @@
 		result = registry.Result{Code: fault.Internal, Reason: err.Error()}
 	} else {
 		result = m.registry.Apply(e.Index, c)
+		if c.Drain != nil {
+			m.drainedAt[c.Drain.Domain] = e.Index
+		}
 	}
 	m.entries = append(m.entries, protocol.LogEntry{Index: e.Index, Command: e.Data})
 	if over := len(m.entries) - maxEntries; over > 0 {
@@ -115,6 +120,7 @@
 		return err
 	}
 	m.entries, m.base = nil, m.registry.Index
+	m.drainedAt, m.drainedFloor = map[ident.Domain]ident.Index{}, m.registry.Index
 	m.notifyFollowers()
 	return nil
 }
@@ -164,6 +170,14 @@
 	return m.registry.Index
 }
 
+// drainState returns whether a failure domain is drained, and the index of the last command about that. After a restart the
+// index may be too high.
+func (m *StateMachine) drainState(domain ident.Domain) (drained bool, index ident.Index) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.Drained[domain], max(m.drainedAt[domain], m.drainedFloor)
+}
+
 // view calls f with the registry, which f must neither keep nor change.
 func (m *StateMachine) view(f func(*registry.Registry)) {
 	m.mu.Lock()
--- a/fleet/registry/command.go
+++ b/fleet/registry/command.go
@@ -45,6 +45,7 @@
 type Drain struct {
 	Domain ident.Domain `json:"domain"`
 	Active bool         `json:"on"`
+	Before ident.Index  `json:"before,omitempty"` // orders about the domain from this index on came later; 0 if that is not known
 }
 
 // VM is an entry VM, as described by its latest report.
