--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -145,7 +145,7 @@
 		}
 	}
 	for {
-		if err := c.tcp.SetReadDeadline(c.progressDeadline()); err != nil {
+		if err := c.tcp.SetReadDeadline(clock.Deadline(c.clock(), c.progressDeadline())); err != nil {
 			return 0, err
 		}
 		n, err := c.tcp.Read(b)
@@ -173,7 +173,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	sent := 0
 	for {
-		if err := c.tcp.SetWriteDeadline(c.progressDeadline()); err != nil {
+		if err := c.tcp.SetWriteDeadline(clock.Deadline(c.clock(), c.progressDeadline())); err != nil {
 			return sent, err
 		}
 		n, err := c.tcp.Write(b[sent:])
--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -13,6 +13,7 @@
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 )
 
@@ -31,6 +32,7 @@
 	id             router.RequestID
 	w              http.ResponseWriter
 	r              *http.Request
+	clock          clock.Clock
 	startedAt      time.Time
 	deadline       time.Time
 	idempotencyKey string // value of the caller's Idempotency-Key header, or ""
@@ -72,9 +74,9 @@
 
 var callPool = sync.Pool{New: func() any { return &call{actionReady: make(chan struct{}, 1)} }}
 
-func newCall(w http.ResponseWriter, r *http.Request, now time.Time) *call {
+func newCall(w http.ResponseWriter, r *http.Request, clk clock.Clock) *call {
 	c := callPool.Get().(*call)
-	c.w, c.r, c.startedAt = w, r, now
+	c.w, c.r, c.clock, c.startedAt = w, r, clk, clk.Now()
 	return c
 }
 
@@ -113,7 +115,7 @@
 	if c.r.ContentLength > limit {
 		return bodyTooLarge(limit)
 	}
-	if err := c.responseController().SetReadDeadline(c.deadline); err != nil {
+	if err := c.responseController().SetReadDeadline(clock.Deadline(c.clock, c.deadline)); err != nil {
 		return notExecuted(fault.Internal, "read body", "%v", err)
 	}
 	c.body = c.body[:0]
@@ -171,7 +173,7 @@
 // interruptUpload makes reads of the request body fail.
 func (c *call) interruptUpload() {
 	c.uploadInterrupted = true
-	_ = c.responseController().SetReadDeadline(c.startedAt)
+	_ = c.responseController().SetReadDeadline(time.Unix(1, 0))
 }
 
 // disconnected returns a channel that is closed when the client disconnects. After interruptUpload
@@ -192,12 +194,12 @@
 // discardBody reads and drops the rest of a refused request's body if it is short, because closing
 // the connection with unread bytes could destroy the refusal on its way to the client. It reads
 // nothing after an Expect header, because such a client has not sent its body yet.
-func (c *call) discardBody(now time.Time) {
+func (c *call) discardBody() {
 	if c.uploadInterrupted || c.r.ContentLength > maxDiscardedBody || c.r.Header.Get("Expect") != "" {
 		c.w.Header().Set("Connection", "close")
 		return
 	}
-	if c.responseController().SetReadDeadline(now.Add(discardTimeout)) != nil {
+	if c.responseController().SetReadDeadline(clock.Deadline(c.clock, c.clock.Now().Add(discardTimeout))) != nil {
 		return
 	}
 	if _, err := io.CopyN(io.Discard, c.r.Body, maxDiscardedBody); err != io.EOF {
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,7 +71,7 @@
 
 func (f *fakeControl) Complete(ctx context.Context, deadline time.Time, r *rpc.CompleteRequest) error {
 	if f.failComplete {
-		_ = clock.Sleep(ctx, clock.System{}, time.Until(deadline))
+		_ = clock.Sleep(ctx, clock.System{}, deadline.Sub(clock.BootTime{}.Now()))
 		return fault.New(fault.Unreachable, "complete", "", "no control")
 	}
 	f.mu.Lock()
@@ -97,6 +98,16 @@
 	return 6, f.callError
 }
 
+// suspendedClock is the clock of a VM that may be suspended. Its times are no deadlines of sockets.
+type suspendedClock struct {
+	clock.BootTime
+	suspended atomic.Int64 // a time.Duration
+}
+
+func (c *suspendedClock) Now() time.Time {
+	return c.BootTime.Now().Add(time.Duration(c.suspended.Load()))
+}
+
 // harness runs a gateway with its router, one upstream per service, and an HTTP server for callers.
 type harness struct {
 	*is.I
@@ -105,16 +116,17 @@
 	url         string
 	server      *http.Server
 	listener    *Listener
+	clock       *suspendedClock
 	configIndex uint64
 }
 
 func newHarness(t testing.TB, upstreams map[string]string, silence time.Duration) *harness {
-	b := &harness{I: is.New(t), control: &fakeControl{claims: make(map[string]*fakeClaim)}}
+	b := &harness{I: is.New(t), control: &fakeControl{claims: make(map[string]*fakeClaim)}, clock: &suspendedClock{}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	b.gateway = New(Options{
-		Log: log, Router: router.New(router.Config{VM: "e1", Incarnation: 1, Address: "127.0.0.1:1", Domain: "d1"}),
-		Forward: forward.New(forward.Options{SilenceTimeout: silence}), Control: b.control, VM: "e1", Incarnation: 1,
+		Clock: b.clock, Log: log, Router: router.New(router.Config{VM: "e1", Incarnation: 1, Address: "127.0.0.1:1", Domain: "d1"}),
+		Forward: forward.New(forward.Options{Clock: b.clock, SilenceTimeout: silence}), Control: b.control, VM: "e1", Incarnation: 1,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -163,7 +175,7 @@
 			&rpc.Allotment{Limit: "connections/" + address, Count: 64})
 	}
 	reply.Allotments = &rpc.Allotments{Allotments: shares}
-	b.gateway.HandleReply(time.Now(), reply)
+	b.gateway.HandleReply(b.clock.Now(), reply)
 	time.Sleep(5 * time.Millisecond) // the workspace's token bucket starts empty
 }
 
@@ -295,3 +307,16 @@
 	b.True(strings.Contains(raw, "cuminfall-workspace:[w1]"))
 	b.True(strings.Contains(raw, "request-timeout:["))
 }
+
+// Guards against a VM that serves with a configuration that grew too old while the VM was suspended.
+func TestConfigurationAgesDuringSuspension(t *testing.T) {
+	upstream := &recordingUpstream{body: "ok"}
+	b := newHarness(t, map[string]string{"forecast": upstream.start(t)}, time.Second)
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		response, _, err := b.do(b.request(http.MethodGet, "/forecast/x", nil))
+		b.NoErr(err)
+		b.Equal(response.StatusCode, status)
+		b.clock.suspended.Store(int64(time.Minute))
+	}
+	b.Equal(upstream.runCount(), 1)
+}
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -8,6 +8,7 @@
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/clock"
 )
 
 // readHead passes on to the router what an upstream says about itself in the head of a response to an attempt.
@@ -16,7 +17,7 @@
 	now := g.Clock.Now()
 	var err error
 	if status == http.StatusServiceUnavailable {
-		notice.QuietFor, err = forward.QuietSpan(header, now)
+		notice.QuietFor, err = forward.QuietSpan(header, clock.System{}.Now()) // the time of day, for dates
 	}
 	if !notice.Leaving && notice.QuietFor == 0 && err == nil {
 		return
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -11,6 +11,7 @@
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 )
@@ -29,7 +30,7 @@
 
 // serveRouted serves a request for an upstream.
 func (g *Gateway) serveRouted(w http.ResponseWriter, r *http.Request) {
-	c := newCall(w, r, g.Clock.Now())
+	c := newCall(w, r, g.Clock)
 	defer c.release()
 	key, f := c.parse()
 	if f == nil && r.ContentLength == 0 {
@@ -278,7 +279,7 @@
 		h["Connection"] = []string{"close"}
 	}
 	if x.Length != 0 {
-		_ = c.responseController().SetWriteDeadline(c.deadline)
+		_ = c.responseController().SetWriteDeadline(clock.Deadline(c.clock, c.deadline))
 	}
 	c.responded = true
 	c.w.WriteHeader(x.Status)
@@ -324,7 +325,7 @@
 		g.abandonClaim(c)
 	}
 	if !c.bodyRead.Load() {
-		c.discardBody(g.Clock.Now())
+		c.discardBody()
 	}
 	if g.stopping.Load() {
 		c.w.Header().Set("Connection", "close")
--- a/entry/gateway/run/run.go
+++ b/entry/gateway/run/run.go
@@ -241,7 +241,7 @@
 
 // closeIdleConns closes idle client connections and then sleeps for sweepInterval.
 func (c *Command) closeIdleConns(ctx context.Context, listener *gateway.Listener, idleSweeps int) error {
-	listener.CloseIdle(c.Clock.Now(), idleSweeps)
+	listener.CloseIdle(clock.System{}.Now(), idleSweeps)
 	return errors.WithStack(clock.Sleep(ctx, c.Clock, sweepInterval))
 }
 
--- a/entry/main.go
+++ b/entry/main.go
@@ -12,9 +12,12 @@
 
 func main() {
 	ctx, cancel := process.SignalContext(context.Background())
-	code := run.Main(ctx, os.Args[1:], run.Options{
-		Out: os.Stdout, Err: os.Stderr, Clock: clock.System{}, Random: rand.Reader,
-	})
+	code := run.Main(ctx, os.Args[1:], options())
 	cancel()
 	os.Exit(code)
 }
+
+// options returns the options of a process. Its leases go on while the VM is suspended.
+func options() run.Options {
+	return run.Options{Out: os.Stdout, Err: os.Stderr, Clock: clock.BootTime{}, Random: rand.Reader}
+}
--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -320,7 +320,7 @@
 // callUntilDeadline repeats an idempotent call until it succeeds, fails with an error of its own,
 // or the deadline passes.
 func (s *Session) callUntilDeadline(ctx context.Context, deadline time.Time, call func(context.Context, rpc.Session) error) error {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, clock.Deadline(s.clock, deadline))
 	defer cancel()
 	for {
 		s.mu.Lock()
--- a/entry/session/session_test.go
+++ b/entry/session/session_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/rpc"
@@ -62,7 +63,7 @@
 
 // newSession returns a session that calls the first member first.
 func newSession(timeout time.Duration, members ...string) *Session {
-	o := Options{Timeout: timeout}
+	o := Options{Timeout: timeout, Clock: clock.BootTime{}} // its times are no deadlines of contexts
 	for _, m := range members {
 		o.ControlAddresses = append(o.ControlAddresses, ident.Address(m))
 	}
@@ -142,12 +143,12 @@
 	is.NoErr(s.Sync(context.Background(), new(replyRecorder)))
 	is.NoErr(<-other)
 	is.Equal(silent.conns.Load(), int32(2))
-	began := time.Now()
+	began := s.clock.Now()
 	is.NoErr(s.Sync(context.Background(), to))
-	is.Equal(to.terms, []uint64{4})                        // the exchange without a reply delivers nothing
-	is.Equal(silent.conns.Load(), int32(3))                // the idle connection is not used, because it may be unresponsive as well
-	is.True(to.sent[0].Sub(began) >= 200*time.Millisecond) // sent is the time of the second request
-	is.True(time.Since(to.sent[0]) >= 50*time.Millisecond) // and not that of its reply
+	is.Equal(to.terms, []uint64{4})                               // the exchange without a reply delivers nothing
+	is.Equal(silent.conns.Load(), int32(3))                       // the idle connection is not used, because it may be unresponsive as well
+	is.True(to.sent[0].Sub(began) >= 200*time.Millisecond)        // sent is the time of the second request
+	is.True(s.clock.Now().Sub(to.sent[0]) >= 50*time.Millisecond) // and not that of its reply
 }
 
 // Guards against a final sync whose reply is handled, or that waits longer than its context for an
@@ -165,3 +166,16 @@
 	is.True(newSession(time.Second, silent.address).FinalSync(ctx, to) != nil)
 	is.True(time.Since(began) < time.Second)
 }
+
+// Guards against a deadline by a clock that counts suspensions which ends a call at once.
+func TestDeadlineByTheSessionsClock(t *testing.T) {
+	is := is.New(t)
+	s := newSession(time.Second, startMember(t, syncOK).address)
+	var remaining time.Duration
+	is.NoErr(s.callUntilDeadline(context.Background(), s.clock.Now().Add(time.Minute), func(ctx context.Context, _ rpc.Session) error {
+		deadline, _ := ctx.Deadline()
+		remaining = time.Until(deadline)
+		return ctx.Err()
+	}))
+	is.True(remaining > 0)
+}
--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -30,6 +30,14 @@
 	return t.C, t.Stop
 }
 
+// Deadline converts a time of c to a time for deadlines of sockets and contexts, which are those of System.
+func Deadline(c Clock, t time.Time) time.Time {
+	if _, ok := c.(System); ok || t.IsZero() {
+		return t
+	}
+	return System{}.Now().Add(t.Sub(c.Now()))
+}
+
 // Sleep waits for d. If ctx is done first, it returns the context's error.
 func Sleep(ctx context.Context, c Clock, d time.Duration) error {
 	select {
