fleet/listener: the connections of HTTP clients move out of entry/gateway

Control's servers need the same way to stop as the entry doors, and programs share code through fleet. The listener, its connections and the end of accepting move unchanged; Count replaces the tests' looks at the internals, and the server is made by the listener. No behaviour changes.

--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -21,8 +21,6 @@
 // memory, and a faulty upstream may send bytes without end on each of its connections.
 const maxHeadBytes = 64 << 10
 
-const tcpUserTimeoutOption = 0x12 // TCP_USER_TIMEOUT, which package syscall lacks
-
 // conn is a connection to an upstream. One exchange at a time uses it.
 type conn struct {
 	reused  bool       // the connection has served an earlier request
@@ -70,21 +68,6 @@
 	return c, nil
 }
 
-// TCPUserTimeout returns a Control hook for net.Dialer and net.ListenConfig that sets how long sent
-// data may stay unacknowledged.
-func TCPUserTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
-	return func(_, _ string, raw syscall.RawConn) error {
-		var optErr error
-		err := raw.Control(func(fd uintptr) {
-			optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeoutOption, int(d/time.Millisecond))
-		})
-		if err != nil {
-			return err
-		}
-		return optErr
-	}
-}
-
 // isUsable reports whether an idle connection is open and has no bytes to read. Bytes that arrive
 // while no request is in progress must not become the response to the next request.
 func (c *conn) isUsable() bool {
--- a/entry/forward/pool.go
+++ b/entry/forward/pool.go
@@ -12,6 +12,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
 )
 
 // pool holds the connections to one incarnation of an endpoint.
@@ -141,7 +142,7 @@
 
 func (p *pool) connect(ctx context.Context, deadline time.Time) (*net.TCPConn, error) {
 	d := net.Dialer{
-		Timeout: p.client.dialTimeout, Deadline: clock.Deadline(p.client.clock, deadline), LocalAddr: p.client.localAddr, Control: TCPUserTimeout(2 * p.client.silenceTimeout),
+		Timeout: p.client.dialTimeout, Deadline: clock.Deadline(p.client.clock, deadline), LocalAddr: p.client.localAddr, Control: process.TCPUserTimeout(2 * p.client.silenceTimeout),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: p.client.silenceTimeout / 2, Interval: p.client.silenceTimeout / 4, Count: 3},
 	}
 	raw, err := d.DialContext(ctx, "tcp", string(p.address))
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/rpc"
 )
 
@@ -115,7 +116,7 @@
 	control     *fakeControl
 	url         string
 	server      *http.Server
-	listener    *Listener
+	listener    *listener.Listener
 	clock       *suspendedClock
 	configIndex uint64
 }
@@ -132,11 +133,11 @@
 	ended := make(chan struct{})
 	go func() { defer close(ended); b.gateway.Run(ctx) }()
 	b.applyConfig(upstreams)
-	l, err := Listen(ctx, "127.0.0.1:0", 10*time.Second)
+	l, err := listener.Listen(ctx, "127.0.0.1:0", 10*time.Second)
 	b.NoErr(err)
 	b.listener = l
 	b.url = "http://" + l.Addr().String()
-	b.server = NewHTTPServer(b.gateway)
+	b.server = NewHTTPServer(l, b.gateway)
 	go func() { _ = b.server.Serve(l) }()
 	t.Cleanup(func() {
 		_ = b.server.Close()
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -14,6 +14,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 )
 
 // ServeHTTP implements http.Handler.
@@ -254,7 +255,7 @@
 	c.aborted = outcome == router.Abandoned || x.Aborted()
 	g.endAttempt(c, outcome, x.Elapsed)
 	if outcome != router.Answered {
-		BreakOff(c.r) // the caller must not take a partial response for a complete one
+		listener.BreakOff(c.r) // the caller must not take a partial response for a complete one
 	}
 	if x.Length != 0 {
 		_ = c.responseController().SetWriteDeadline(time.Time{})
--- a/entry/gateway/run/run.go
+++ b/entry/gateway/run/run.go
@@ -22,6 +22,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/settings"
 )
@@ -125,17 +126,17 @@
 	// The listener, the gateway and the syncs must outlive ctx until the stop is complete.
 	workCtx, cancelWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelWork()
-	listener, err := gateway.Listen(workCtx, ident.Address(c.settings.listenAddress()), c.settings.Silence)
+	callers, err := listener.Listen(workCtx, ident.Address(c.settings.listenAddress()), c.settings.Silence)
 	if err != nil {
 		return err
 	}
 	adminListener, err := process.Listen(c.settings.Admin)
 	if err != nil {
-		_ = listener.Close()
+		_ = callers.Close()
 		return err
 	}
-	listener.MaxConns, _ = process.ConnectionLimits(0)
-	server := gateway.NewHTTPServer(c.gateway)
+	callers.MaxConns, _ = process.ConnectionLimits(0)
+	server := gateway.NewHTTPServer(callers, c.gateway)
 	adminServer := &http.Server{Handler: process.AdminHandler(c.registry, c.gateway.ConfigFresh), ReadHeaderTimeout: time.Second}
 	failed := make(chan error, 2)
 	var running sync.WaitGroup
@@ -148,14 +149,14 @@
 	}
 	syncCtx, stopSync := context.WithCancel(workCtx)
 	defer stopSync()
-	start(func() { failed <- process.Serve(server, listener) })
+	start(func() { failed <- process.Serve(server, callers) })
 	start(func() { failed <- process.Serve(adminServer, adminListener) })
 	start(func() { c.gateway.Run(workCtx) })
 	start(func() { c.session.Run(syncCtx, c.gateway) })
 	c.log.WithField("name", c.settings.Name).WithField("address", c.settings.Address).Info("serving")
 	select {
 	case <-ctx.Done():
-		err = c.stop(workCtx, server, listener, stopSync)
+		err = c.stop(workCtx, server, callers, stopSync)
 	case err = <-failed:
 	}
 	stopSync()
@@ -204,23 +205,23 @@
 }
 
 // stop stops serving without interrupting a request.
-func (c *Command) stop(ctx context.Context, server *http.Server, listener *gateway.Listener, stopSync func()) error {
+func (c *Command) stop(ctx context.Context, server *http.Server, callers *listener.Listener, stopSync func()) error {
 	c.log.Info("leaving")
 	c.gateway.Leave()
 	// Callers may use the lookups that they hold until these expire.
 	lookupExpiry := c.Clock.Now().Add(c.gateway.LookupLifetime() + lookupMargin)
 	for c.Clock.Now().Before(lookupExpiry) {
-		if err := c.closeIdleConns(ctx, listener, maxIdleSweeps); err != nil {
+		if err := c.closeIdleConns(ctx, callers, maxIdleSweeps); err != nil {
 			return err
 		}
 	}
 	// Shutting down the server would reset requests in transit on connections that it closes as
 	// idle.
-	if err := listener.EndAccepting(ctx); err != nil {
+	if err := callers.EndAccepting(ctx); err != nil {
 		c.log.WithError(err).Warn("clients that connect while the listener is closed may be reset")
 	}
 	// Requests in progress have their own deadlines, so this wait needs no timeout.
-	if err := listener.Shutdown(ctx, server); err != nil {
+	if err := callers.Shutdown(ctx, server); err != nil {
 		return fault.Wrap(err, fault.Internal, "shut down", c.settings.Address)
 	}
 	stopSync()
@@ -234,14 +235,14 @@
 	if err := c.session.FinalSync(finalCtx, c.gateway); err != nil {
 		c.log.WithError(err).Warn("could not return this VM's shares; they are released when its lease expires")
 	}
-	closed, crossed := listener.IdleCloses()
+	closed, crossed := callers.IdleCloses()
 	c.log.WithFields(logrus.Fields{"idle": closed, "crossed": crossed}).Info("stopped")
 	return nil
 }
 
 // closeIdleConns closes idle client connections and then sleeps for sweepInterval.
-func (c *Command) closeIdleConns(ctx context.Context, listener *gateway.Listener, idleSweeps int) error {
-	listener.CloseIdle(clock.System{}.Now(), idleSweeps)
+func (c *Command) closeIdleConns(ctx context.Context, callers *listener.Listener, idleSweeps int) error {
+	callers.CloseIdle(clock.System{}.Now(), idleSweeps)
 	return errors.WithStack(clock.Sleep(ctx, c.Clock, sweepInterval))
 }
 
--- a/entry/gateway/shutdown_test.go
+++ b/entry/gateway/shutdown_test.go
@@ -19,7 +19,7 @@
 	for _, c := range []*caller{first, kept} {
 		_, _ = io.WriteString(c, "GET /fore")
 	}
-	for end := time.Now().Add(2 * time.Second); b.listener.idleCount() != 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * time.Second); b.listener.Count().Idle != 0; time.Sleep(time.Millisecond) {
 		b.True(time.Now().Before(end)) // the server must read the first bytes
 	}
 	b.gateway.Leave()
@@ -45,7 +45,7 @@
 	b.Equal(kept.readResponse().Close, false)
 	_, err = io.WriteString(kept, "G")
 	b.NoErr(err)
-	for end := time.Now().Add(2 * time.Second); b.listener.idleCount() != 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(2 * time.Second); b.listener.Count().Idle != 0; time.Sleep(time.Millisecond) {
 		b.True(time.Now().Before(end)) // the server must read the byte
 	}
 	b.gateway.Leave()
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -13,8 +13,8 @@
 
 	"cuminfall.example/entry/balancer"
 	"cuminfall.example/entry/forward"
-	"cuminfall.example/entry/gateway"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/registry"
 )
 
@@ -39,7 +39,7 @@
 	var last, reported attemptResult // reported is what the caller gets if no further attempt follows
 	defer c.leaveQuarantine()
 	for {
-		if gateway.ClientDisconnected(c.r.Context()) {
+		if listener.ClientDisconnected(c.r.Context()) {
 			c.abandon()
 		}
 		if c.endedByStop() {
@@ -292,7 +292,7 @@
 			exchange.Close()
 			c.investigate(choice, failure)
 		}
-		gateway.BreakOff(c.r) // lets the caller see that the response is incomplete
+		listener.BreakOff(c.r) // lets the caller see that the response is incomplete
 	}
 	exchange.Close()
 	c.recordAttempt(choice, outcome, c.proxy.opts.Clock.Now().Sub(startedAt), info.Load)
--- a/entry/proxy/http10_test.go
+++ b/entry/proxy/http10_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"cuminfall.example/entry/gateway"
+	"cuminfall.example/fleet/listener"
 )
 
 // Guards against a cut answer without a length that looks whole to a caller with HTTP/1.0.
@@ -45,11 +46,11 @@
 // startListener serves the fixture on a listener for callers and returns its address.
 func startListener(t *testing.T, fx *fixture) string {
 	t.Helper()
-	l, err := gateway.Listen(context.Background(), "127.0.0.1:0", time.Second)
+	l, err := listener.Listen(context.Background(), "127.0.0.1:0", time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := gateway.NewHTTPServer(fx)
+	server := gateway.NewHTTPServer(l, fx)
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return l.Addr().String()
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -11,11 +11,11 @@
 
 	"cuminfall.example/entry/balancer"
 	"cuminfall.example/entry/forward"
-	"cuminfall.example/entry/gateway"
 	"cuminfall.example/entry/throttle"
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/object"
 	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/process"
@@ -79,8 +79,8 @@
 // Proxy serves callers' requests on one entry VM.
 type Proxy struct {
 	opts    Options
-	control Control           // set before requests are served
-	callers *gateway.Listener // set before requests are served; nil in tests without a listener
+	control Control            // set before requests are served
+	callers *listener.Listener // set before requests are served; nil in tests without a listener
 	stop    stop
 	metrics requestMetrics
 
--- a/entry/proxy/run.go
+++ b/entry/proxy/run.go
@@ -13,6 +13,7 @@
 	"cuminfall.example/entry/shutdown"
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/process"
 )
 
@@ -42,18 +43,18 @@
 // Options.GracePeriod. It returns an error if a listener fails.
 func (p *Proxy) Serve(ctx context.Context, addresses Addresses, controlFollower *follower.Follower) error {
 	p.control = controlFollower
-	listener, err := gateway.Listen(ctx, addresses.Callers, callerSilenceTimeout)
+	callers, err := listener.Listen(ctx, addresses.Callers, callerSilenceTimeout)
 	if err != nil {
 		return err
 	}
-	listener.MaxConns, p.callers = p.opts.MaxCallers, listener
-	server := gateway.NewHTTPServer(p)
+	callers.MaxConns, p.callers = p.opts.MaxCallers, callers
+	server := gateway.NewHTTPServer(callers, p)
 	readyServer := &http.Server{Handler: http.HandlerFunc(p.serveReadiness), ReadHeaderTimeout: time.Second}
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	serveErrors := make(chan error, 4)
 	var tasks sync.WaitGroup
-	tasks.Go(func() { serveErrors <- process.Serve(server, listener) })
+	tasks.Go(func() { serveErrors <- process.Serve(server, callers) })
 	tasks.Go(func() { serveErrors <- process.ListenAndServe(readyServer, addresses.Ready) })
 	if addresses.Metrics != "" {
 		adminServer := &http.Server{Handler: process.AdminHandler(p.opts.Metrics, p.Ready), ReadHeaderTimeout: time.Second}
@@ -65,14 +66,14 @@
 	p.opts.Log.WithFields(logrus.Fields{"event": "start", "address": addresses.Callers, "domain": p.opts.VM.Domain}).Info("serving")
 	select {
 	case <-ctx.Done():
-		p.shutDown(workCtx, server, listener, controlFollower)
+		p.shutDown(workCtx, server, callers, controlFollower)
 	case err = <-serveErrors:
 	}
 	stopWork()
 	_ = server.Close()
 	_ = readyServer.Close()
 	p.opts.Forward.Close()
-	closed, crossed := listener.IdleCloses()
+	closed, crossed := callers.IdleCloses()
 	p.opts.Log.WithFields(logrus.Fields{"event": "stop", "idle": closed, "crossed": crossed}).Info("stopped")
 	return err
 }
@@ -85,7 +86,7 @@
 
 // shutDown reports the graceful shutdown, gives callers the drain period to switch to other VMs, goes on accepting until
 // no new ones come, and returns when no request is in progress or the grace period is over.
-func (p *Proxy) shutDown(ctx context.Context, server *http.Server, listener *gateway.Listener, controlFollower *follower.Follower) {
+func (p *Proxy) shutDown(ctx context.Context, server *http.Server, callers *listener.Listener, controlFollower *follower.Follower) {
 	startedAt := p.opts.Clock.Now()
 	p.opts.Log.WithField("event", "leave").Info("graceful shutdown begins")
 	p.Leave()
@@ -97,10 +98,10 @@
 	latestClose := p.opts.DrainPeriod + time.Duration(quietShare*float64(p.opts.GracePeriod-p.opts.DrainPeriod))
 	for {
 		elapsed := p.opts.Clock.Now().Sub(startedAt)
-		if elapsed >= latestClose || elapsed >= p.opts.DrainPeriod && listener.Quiet() {
+		if elapsed >= latestClose || elapsed >= p.opts.DrainPeriod && callers.Quiet() {
 			break
 		}
-		listener.CloseIdle(p.opts.Clock.Now(), drainIdleSweeps)
+		callers.CloseIdle(p.opts.Clock.Now(), drainIdleSweeps)
 		if clock.Sleep(ctx, p.opts.Clock, idleCloseInterval) != nil {
 			return
 		}
@@ -112,10 +113,10 @@
 			p.stop.endRunning()
 		}
 	}()
-	if err := listener.EndAccepting(shutdownCtx); err != nil {
+	if err := callers.EndAccepting(shutdownCtx); err != nil {
 		p.opts.Log.WithField("event", "leave").WithError(err).Warn("callers that connect while the listener is closed may be reset")
 	}
-	if err := listener.Shutdown(shutdownCtx, server); err != nil {
+	if err := callers.Shutdown(shutdownCtx, server); err != nil {
 		p.opts.Log.WithField("event", "leave").WithError(err).Warn("requests were still in progress at the end of the grace period")
 	}
 }
--- a/entry/proxy/stop.go
+++ b/entry/proxy/stop.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"cuminfall.example/entry/gateway"
 	"cuminfall.example/entry/shutdown"
+	"cuminfall.example/fleet/listener"
 )
 
 // stop is the state of a Proxy's graceful shutdown.
@@ -63,5 +63,5 @@
 // endedByStop reports whether an attempt was ended for the final answer, and not because its caller disconnected. The
 // server ends the request's context in both cases if it was reading a body.
 func (c *call) endedByStop() bool {
-	return c.proxy.stop.ended.Err() != nil && !gateway.ClientDisconnected(c.r.Context())
+	return c.proxy.stop.ended.Err() != nil && !listener.ClientDisconnected(c.r.Context())
 }
--- a/entry/gateway/conn.go
+++ b/fleet/listener/conn.go
@@ -1,4 +1,4 @@
-package gateway
+package listener
 
 import (
 	"cmp"
@@ -30,8 +30,8 @@
 // expired is a read deadline that ends a pending read.
 var expired = time.Unix(1, 0)
 
-// callerConn is a client connection that can be closed between requests without a TCP reset.
-type callerConn struct {
+// conn is a client connection that can be closed between requests without a TCP reset.
+type conn struct {
 	*net.TCPConn
 	listener         *Listener
 	state            atomic.Uint32
@@ -53,7 +53,7 @@
 
 // Read implements net.Conn. It decides whether a request begins or the connection closes, so that a request whose first
 // byte was read is always served, and nothing is read once the sending side is closed.
-func (c *callerConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	for {
 		if c.state.Load() == connClosed {
 			return 0, io.EOF
@@ -91,7 +91,7 @@
 }
 
 // begin marks an idle or closing connection as active and reports whether it was one.
-func (c *callerConn) begin() bool {
+func (c *conn) begin() bool {
 	state := c.state.Load()
 	if state != connIdle && state != connClosing {
 		return false
@@ -110,7 +110,7 @@
 }
 
 // SetReadDeadline implements net.Conn. A connection that is to be closed keeps its expired deadline.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *conn) SetReadDeadline(t time.Time) error {
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 	c.readDeadline = t
@@ -122,7 +122,7 @@
 
 // awaitClientClose waits until the client has closed its side, or for lingerTimeout. It reads nothing: a request that
 // arrives now cannot be answered, and the reset of a connection with unread bytes tells the client that it was not read.
-func (c *callerConn) awaitClientClose() {
+func (c *conn) awaitClientClose() {
 	raw, err := c.SyscallConn()
 	if err != nil || c.TCPConn.SetReadDeadline(c.listener.now().Add(lingerTimeout)) != nil {
 		return // the connection is already closed
@@ -138,8 +138,8 @@
 // connKey is the context key of the connection of a request.
 type connKey struct{}
 
-// withConn adds the connection to the context of its requests. It is the server's ConnContext hook.
-func withConn(ctx context.Context, c net.Conn) context.Context {
+// withConnection adds the connection to the context of its requests. It is the server's ConnContext hook.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
 
@@ -147,7 +147,7 @@
 // the socket itself, because on a busy VM the server's own goroutine may notice the close only
 // after the request was forwarded.
 func ClientDisconnected(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*callerConn)
+	c, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
 		return false
 	}
@@ -158,14 +158,14 @@
 // BreakOff ends a response whose head was sent and whose body is incomplete. It does not return. Without a length or chunks,
 // which HTTP/1.0 has not, only a reset tells the client that the body is incomplete.
 func BreakOff(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !r.ProtoAtLeast(1, 1) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !r.ProtoAtLeast(1, 1) {
 		c.breaksOff.Store(true)
 	}
 	panic(http.ErrAbortHandler)
 }
 
 // peek reports whether bytes of the client wait to be read, and whether the client has closed the connection.
-func (c *callerConn) peek() (unread, disconnected bool) {
+func (c *conn) peek() (unread, disconnected bool) {
 	err := control(c, func(fd int) error {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -176,7 +176,7 @@
 }
 
 // Write implements net.Conn.
-func (c *callerConn) Write(b []byte) (int, error) {
+func (c *conn) Write(b []byte) (int, error) {
 	c.answering.Store(true)
 	return c.TCPConn.Write(b)
 }
@@ -185,7 +185,7 @@
 // request's body. Those bytes are discarded for lingerTimeout, because they would otherwise cause a
 // reset that could destroy the response on its way to the client. A request without a response is not
 // read on: the reset tells the client that it was not read.
-func (c *callerConn) Close() error {
+func (c *conn) Close() error {
 	if c.breaksOff.Load() {
 		_ = c.TCPConn.SetLinger(0) // fails only if the connection is already closed
 		c.state.Store(connClosed)
@@ -204,24 +204,25 @@
 	return nil
 }
 
-func (c *callerConn) closeSocket() error {
+func (c *conn) closeSocket() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
 	return c.TCPConn.Close()
 }
 
-// closeIfStalled closes the connection if the head of a request began to arrive and was not complete within headerTimeout.
+// closeIfStalled closes the connection if the head of a request began to arrive and was not complete within the listener's
+// timeout for it.
 // The server allows its own idle timeout for the first bytes.
-func (c *callerConn) closeIfStalled(now time.Time) {
-	if c.state.Load() == connActive && !c.headRead.Load() && now.UnixNano()-c.begunAt.Load() > int64(headerTimeout) {
+func (c *conn) closeIfStalled(now time.Time) {
+	if c.state.Load() == connActive && !c.headRead.Load() && now.UnixNano()-c.begunAt.Load() > int64(c.listener.headerTimeout) {
 		_ = c.TCPConn.Close() // ends the server's read
 	}
 }
 
 // closeIfIdle makes the pending read close the connection, unless a request has been received by then. On a busy VM a
 // request may have been received long before the server reads it.
-func (c *callerConn) closeIfIdle() {
+func (c *conn) closeIfIdle() {
 	if c.state.Load() != connIdle {
 		return
 	}
@@ -237,8 +238,8 @@
 
 // trackState updates the state from the server's view of the connection. It is the server's
 // ConnState hook.
-func trackState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
+func trackState(inner net.Conn, state http.ConnState) {
+	c, ok := inner.(*conn)
 	if !ok {
 		return
 	}
@@ -262,7 +263,7 @@
 	}
 }
 
-// Listener accepts client connections and closes those without a request.
+// Listener accepts client connections and closes those without a request. Its connections belong to a server of NewServer.
 type Listener struct {
 	*net.TCPListener
 	// MaxConns is the number of open client connections from which the longest idle ones are closed
@@ -273,9 +274,10 @@
 
 	idleCloses    atomic.Int64
 	crossedCloses atomic.Int64
+	headerTimeout time.Duration // zero until a server is made for it
 
 	mu           sync.Mutex
-	conns        map[*callerConn]struct{}
+	conns        map[*conn]struct{}
 	lastAccepted time.Time // when the last connection was accepted
 	nextReclaim  time.Time // before it, no further connections are closed to make room
 }
@@ -305,7 +307,7 @@
 	if err != nil {
 		return nil, err // not wrapped, because the server retries after temporary errors
 	}
-	c := &callerConn{TCPConn: inner, listener: l}
+	c := &conn{TCPConn: inner, listener: l}
 	now := l.now()
 	c.idleSince.Store(now.UnixNano())
 	l.mu.Lock()
@@ -336,13 +338,13 @@
 // l.mu is held.
 func (l *Listener) reclaimIdle(now time.Time) {
 	cutoff := now.Add(-minReclaimIdle).UnixNano()
-	var idle []*callerConn
+	var idle []*conn
 	for c := range l.conns {
 		if c.state.Load() == connIdle && c.idleSince.Load() <= cutoff {
 			idle = append(idle, c)
 		}
 	}
-	slices.SortFunc(idle, func(a, b *callerConn) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
+	slices.SortFunc(idle, func(a, b *conn) int { return cmp.Compare(a.idleSince.Load(), b.idleSince.Load()) })
 	surplus := len(l.conns) - int(crowdedFraction*float64(l.MaxConns))
 	for _, c := range idle[:min(max(surplus, 0), len(idle))] {
 		c.closeIfIdle()
--- a/entry/gateway/drain.go
+++ b/fleet/listener/drain.go
@@ -1,4 +1,4 @@
-package gateway
+package listener
 
 import (
 	"context"
@@ -69,11 +69,11 @@
 	if err := l.Close(); err != nil {
 		return errors.Wrap(err, "close the listener")
 	}
-	for l.openCount() > 0 {
+	for l.Count().Open > 0 {
 		l.CloseIdle(l.now(), 1)
 		l.closeStalled()
 		err := clock.Sleep(ctx, l.clock(), shutdownSweepInterval)
-		if err != nil && l.connsIn(connActive) > 0 {
+		if err != nil && l.Count().Active > 0 {
 			return errors.WithStack(err)
 		}
 		if err != nil {
@@ -94,23 +94,30 @@
 	}
 }
 
-// connsIn returns how many open connections are in a state.
-func (l *Listener) connsIn(state uint32) int {
+// Counts are numbers of open connections.
+type Counts struct {
+	Open   int // all
+	Idle   int // those without a request
+	Active int // those with a request that is being received or answered
+	Closed int // those whose sending side is closed
+}
+
+// Count returns the numbers of open connections.
+func (l *Listener) Count() Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	count := 0
+	n := Counts{Open: len(l.conns)}
 	for c := range l.conns {
-		if c.state.Load() == state {
-			count++
+		switch c.state.Load() {
+		case connIdle:
+			n.Idle++
+		case connActive:
+			n.Active++
+		case connClosed:
+			n.Closed++
 		}
 	}
-	return count
-}
-
-func (l *Listener) openCount() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
+	return n
 }
 
 // ignoreNewClients attaches a packet filter to a listening socket that drops each SYN, and keeps the packets that
--- a/entry/gateway/unanswered_test.go
+++ b/fleet/listener/unanswered_test.go
@@ -1,4 +1,4 @@
-package gateway
+package listener
 
 import (
 	"context"
@@ -28,7 +28,7 @@
 				l, err := Listen(context.Background(), "127.0.0.1:0", time.Second)
 				is.NoErr(err)
 				var handled atomic.Int32
-				server := NewHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
+				server := l.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }), 10*time.Second)
 				server.ReadHeaderTimeout = 200 * time.Millisecond
 				go func() { _ = server.Serve(l) }()
 				defer func() { _ = server.Close() }()
@@ -41,13 +41,13 @@
 					is.NoErr(err)
 					_, err = client.Read(make([]byte, 1<<10))
 					is.NoErr(err)
-					for deadline := time.Now().Add(2 * time.Second); l.connsIn(connIdle) == 0; time.Sleep(time.Millisecond) {
+					for deadline := time.Now().Add(2 * time.Second); l.Count().Idle == 0; time.Sleep(time.Millisecond) {
 						is.True(time.Now().Before(deadline)) // the server must end the first request
 					}
 				}
 				_, err = io.WriteString(client, head[:headLine])
 				is.NoErr(err)
-				for deadline := time.Now().Add(2 * time.Second); l.connsIn(connActive) == 0; time.Sleep(time.Millisecond) {
+				for deadline := time.Now().Add(2 * time.Second); l.Count().Active == 0; time.Sleep(time.Millisecond) {
 					is.True(time.Now().Before(deadline)) // the server must read the first bytes
 				}
 				is.NoErr(end(server))
@@ -70,7 +70,7 @@
 	is := is.New(t)
 	l, err := Listen(context.Background(), "127.0.0.1:0", time.Second)
 	is.NoErr(err)
-	server := NewHTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server := l.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), 10*time.Second)
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
 	client, err := net.Dial("tcp", l.Addr().String())
@@ -81,14 +81,14 @@
 	head := "GET /" + strings.Repeat("a", serverBuffer) + " HTTP/1.1\r\nHost: x\r\n\r\n"
 	_, err = io.WriteString(client, head[:serverBuffer-1])
 	is.NoErr(err)
-	for deadline := time.Now().Add(2 * time.Second); l.connsIn(connActive) == 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(2 * time.Second); l.Count().Active == 0; time.Sleep(time.Millisecond) {
 		is.True(time.Now().Before(deadline)) // the server must read the first bytes
 	}
 	_, err = io.WriteString(client, head[serverBuffer-1:])
 	is.NoErr(err)
 	_, err = client.Read(make([]byte, 1<<10))
 	is.NoErr(err)
-	for deadline := time.Now().Add(2 * time.Second); l.connsIn(connIdle) == 0; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(2 * time.Second); l.Count().Idle == 0; time.Sleep(time.Millisecond) {
 		is.True(time.Now().Before(deadline)) // the connection must count as idle
 	}
 }
--- a/fleet/process/dial.go
+++ b/fleet/process/dial.go
@@ -3,6 +3,10 @@
 import (
 	"net"
 	"net/netip"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // LocalAddr returns the local address for outgoing connections of a process that listens on address, an IP:port.
@@ -15,3 +19,18 @@
 	}
 	return &net.TCPAddr{IP: parsed.Addr().AsSlice()}
 }
+
+// TCPUserTimeout returns a Control hook for net.Dialer and net.ListenConfig that sets how long sent
+// data may stay unacknowledged.
+func TCPUserTimeout(d time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optErr error
+		err := raw.Control(func(fd uintptr) {
+			optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d/time.Millisecond))
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
+	}
+}
