control: a planned stop answers the orders, announcements and look-ups that are arriving

Both control programs stopped with net/http's Shutdown, which closes a connection while it reads the head of its next request, on new connections and on kept ones. Orders, heartbeats and look-ups then ended without an answer after a part of them had been read, and the operator could not tell whether an order was carried out.

listener.Server does what the entry doors do: idle connections are closed by their pending read, further clients are ignored before the listener closes, and the server is closed once no connection is open. Responses of a stopping member ask to close the connection. Followers that wait at it get an error after the handover, so that they move on at once and do not hold the stop. It has 2.5 s for that in place of 1.5 s, and with the handover 4.5 s at most.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -56,10 +56,11 @@
 
 // Coordinator is one member of the control group.
 type Coordinator struct {
-	opts   Options
-	client protocol.Client
-	floor  registryFloor
-	drains drainQueue
+	opts     Options
+	client   protocol.Client
+	floor    registryFloor
+	drains   drainQueue
+	stopping chan struct{} // closed when followers must use another member
 
 	mu             sync.Mutex
 	term           ident.Term // that this member leads; 0 if it is not the leader
@@ -81,7 +82,7 @@
 
 // New returns a Coordinator with the given options. It does nothing until Serve or Run is called.
 func New(o Options) *Coordinator {
-	return &Coordinator{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, drains: newDrainQueue(), lastReports: map[ident.VM]time.Time{}, downSince: map[ident.VM]time.Time{},
+	return &Coordinator{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, drains: newDrainQueue(), stopping: make(chan struct{}), lastReports: map[ident.VM]time.Time{}, downSince: map[ident.VM]time.Time{},
 		lastSeen: map[registry.UpstreamID]time.Time{}, unforwarded: map[registry.UpstreamID]time.Time{}}
 }
 
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -35,6 +35,7 @@
 	// snapshotEvery is the number of entries between snapshots; 0 means the default.
 	snapshotEvery int
 	clock         clock.Clock // nil means clock.BootTime
+	services      []HTTPService
 	cancel        context.CancelFunc
 	done          chan error
 }
@@ -57,7 +58,7 @@
 	m.cancel, m.done = cancel, make(chan error, 1)
 	go func() {
 		defer close(m.done) // so that a member may be stopped twice
-		m.done <- m.Serve(ctx, metrics.NewRegistry(), "")
+		m.done <- m.Serve(ctx, metrics.NewRegistry(), "", m.services...)
 	}()
 }
 
--- a/control/coordinator/drain_test.go
+++ b/control/coordinator/drain_test.go
@@ -37,14 +37,19 @@
 // the drain: the domain would stay out of use.
 func TestDrainOfPausedMemberDoesNotUndoLaterOrder(t *testing.T) {
 	is := is.New(t)
-	members := startGroup(t)[:3]
+	members := startGroup(t)
 	paused, c := members[0], &suspendedClock{}
 	paused.stop()
 	paused.clock = c
 	paused.start()
-	leader, _ := currentLeader(t, members[1:])
-	eventually(t, "the member knows the leader", func() bool { return paused.remoteLeader() == leader.address })
 	ctx := context.Background()
+	var leader *member
+	eventually(t, "another member leads", func() bool {
+		if leader, _ = currentLeader(t, members); leader == paused {
+			_ = paused.opts.Replica.Handover(ctx)
+		}
+		return leader != paused && paused.remoteLeader() == leader.address
+	})
 	begin, finish := registry.Drain{Domain: "d", Active: true}, registry.Drain{Domain: "d"}
 	isDrained := func() bool {
 		drained, _ := leader.opts.StateMachine.drainState("d")
--- a/control/coordinator/follow.go
+++ b/control/coordinator/follow.go
@@ -85,6 +85,11 @@
 	if q.Committed {
 		return c.handleCommitted(ctx)
 	}
+	select {
+	case <-c.stopping:
+		return nil, c.stoppingError()
+	default:
+	}
 	required, known := c.requiredIndex()
 	if q.StatusOnly {
 		reply := protocol.FollowReply{Index: c.opts.StateMachine.index()}
@@ -99,6 +104,8 @@
 		select {
 		case <-ctx.Done():
 			return nil, fault.Wrap(ctx.Err(), fault.Deadline, "follow", "")
+		case <-c.stopping:
+			return nil, c.stoppingError()
 		case <-changed:
 		case <-c.opts.Clock.After(q.Wait):
 		}
@@ -111,6 +118,10 @@
 	return reply, nil
 }
 
+func (c *Coordinator) stoppingError() error {
+	return fault.New(fault.Stopping, "follow", string(c.opts.Address), "this member is shutting down")
+}
+
 // handleCommitted returns to another member the index that its registry must reach.
 func (c *Coordinator) handleCommitted(ctx context.Context) (any, error) {
 	if _, _, leads := c.opts.Replica.Leadership(); !leads {
--- a/control/coordinator/run.go
+++ b/control/coordinator/run.go
@@ -10,14 +10,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/process"
 )
 
 const (
 	// handoverTimeout limits how long a stopping leader tries to hand over leadership.
 	handoverTimeout = 2 * time.Second
-	// drainTimeout is how long running requests may take to finish at a stop. They last 1 s at most.
-	drainTimeout = 1500 * time.Millisecond
+	// drainTimeout is how long a stop may take after the handover. Requests last 1 s at most, and connections may take
+	// 1.5 s to close.
+	drainTimeout = 2500 * time.Millisecond
 )
 
 // HTTPService is a listen address of a member and the handler that serves it.
@@ -39,11 +41,19 @@
 	serviceCtx, stopServices := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServices()
 	group, serviceCtx := errgroup.WithContext(serviceCtx)
-	var servers []*http.Server
+	var servers []*listener.Server
 	for _, service := range services {
-		s := &http.Server{Handler: service.Handler, ReadHeaderTimeout: time.Second, IdleTimeout: time.Minute}
+		s, err := listener.Open(serviceCtx, service.Address, service.Handler)
+		if err != nil {
+			for _, s := range servers {
+				s.Close()
+			}
+			return err
+		}
 		servers = append(servers, s)
-		group.Go(func() error { return process.ListenAndServe(s, service.Address) })
+	}
+	for _, s := range servers {
+		group.Go(s.Serve)
 	}
 	group.Go(func() error { return c.opts.Replica.Run(serviceCtx) })
 	group.Go(func() error { return c.Run(serviceCtx) })
@@ -54,18 +64,21 @@
 		case <-serviceCtx.Done():
 			// The member or a listener failed. Without its servers the process ends and is started again.
 			for _, s := range servers {
-				_ = s.Close()
+				s.Close()
 			}
 			return nil
 		}
 		c.opts.Log.WithField("event", "leave").Info("graceful shutdown begins")
 		c.handover(serviceCtx)
+		close(c.stopping)
 		drainCtx, cancel := context.WithTimeout(serviceCtx, drainTimeout)
 		defer cancel()
+		var stops errgroup.Group
 		for _, s := range servers {
-			if err := s.Shutdown(drainCtx); err != nil {
-				_ = s.Close() // followers that are still waiting retry at another member
-			}
+			stops.Go(func() error { return s.Stop(drainCtx) })
+		}
+		if err := stops.Wait(); err != nil {
+			c.opts.Log.WithField("event", "leave").WithError(err).Warn("requests were still in progress at the end of the stop")
 		}
 		return nil
 	})
--- a/control/server/runcmd/run.go
+++ b/control/server/runcmd/run.go
@@ -16,6 +16,8 @@
 	"cuminfall.example/control/server"
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/settings"
 )
@@ -98,26 +100,25 @@
 
 func (o *Options) serve(ctx context.Context, env Environment, member Member, srv *server.Server) error {
 	s := env.Settings
-	publicListener, err := process.Listen(s.ListenAddress())
+	mux := http.NewServeMux()
+	mux.Handle("/", member.Handler())
+	srv.Register(mux)
+	public, err := listener.Open(ctx, ident.Address(s.ListenAddress()), mux)
 	if err != nil {
 		return err
 	}
-	adminListener, err := process.Listen(string(s.Admin))
+	admin, err := listener.Open(ctx, ident.Address(s.Admin), process.AdminHandler(env.Metrics, func() bool { return !member.GroupStatus().GetCut() }))
 	if err != nil {
-		return fault.Wrap(publicListener.Close(), fault.Internal, "listen", string(s.Admin))
+		public.Close()
+		return err
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/", member.Handler())
-	srv.Register(mux)
-	publicServer := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	adminServer := &http.Server{Handler: process.AdminHandler(env.Metrics, func() bool { return !member.GroupStatus().GetCut() }), ReadHeaderTimeout: time.Second}
 
 	// The member and its servers keep running after ctx ends, because a handover needs them.
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	group.Go(func() error { return process.Serve(publicServer, publicListener) })
-	group.Go(func() error { return process.Serve(adminServer, adminListener) })
+	group.Go(public.Serve)
+	group.Go(admin.Serve)
 	group.Go(func() error { return member.Run(serveCtx) })
 	group.Go(func() error { return srv.Run(serveCtx) })
 	group.Go(func() error {
@@ -127,14 +128,14 @@
 		case <-serveCtx.Done():
 		}
 		defer stop()
-		return shutdown(serveCtx, env.Log, member, publicServer, adminServer)
+		return shutdown(serveCtx, env.Log, member, public, admin)
 	})
 	env.Log.WithField("address", s.Address).Info("serving")
 	return group.Wait()
 }
 
 // shutdown hands over leadership and waits for the requests in progress.
-func shutdown(serveCtx context.Context, log logrus.FieldLogger, member Member, servers ...*http.Server) error {
+func shutdown(serveCtx context.Context, log logrus.FieldLogger, member Member, servers ...*listener.Server) error {
 	if _, _, leads := member.Leadership(); leads {
 		ctx, cancel := context.WithTimeout(serveCtx, handoverTimeout)
 		if err := member.Handover(ctx); err != nil {
@@ -144,10 +145,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(serveCtx), drainTimeout)
 	defer cancel()
+	var stops errgroup.Group
 	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			return fault.Wrap(err, fault.Internal, "shut down", s.Addr)
-		}
+		stops.Go(func() error { return fault.Wrap(s.Stop(ctx), fault.Internal, "shut down", "") })
 	}
-	return nil
+	return stops.Wait()
 }
