control/consensus: a linearizability check of the configuration

Histories of configuration changes and reads by four operators at any member are recorded on the simulated group while its leaders are cut off, cut off in one direction, paused, crashed and handed over, with lost, late and repeated messages and clocks that are off by up to 4%. Members forward and repeat orders as the coordinator does, and apply them with the real registry. porcupine (tests only) checks the history.

--- a/control/consensus/simulation_test.go
+++ b/control/consensus/simulation_test.go
@@ -27,7 +27,17 @@
 	maxDelay       time.Duration   // longest delay of other messages
 	blockedLinks   map[[2]string]bool
 	groupHistory
-	violation string // description of the first violated invariant
+	violation  string // description of the first violated invariant
+	newMachine func(*host) machine
+}
+
+// machine is the state machine of a host, with the proposals that wait for it.
+type machine interface {
+	apply(*wire.Entry)
+	encode() []byte
+	restore([]byte)
+	// handle is called with the effects about proposals.
+	handle(Effect)
 }
 
 // groupHistory is what the group did so far, for the checks of the invariants.
@@ -64,6 +74,7 @@
 	token         Token
 	replies       map[Token]func(proto.Message)
 	snapshotIndex uint64 // index of the last snapshot that was written or restored
+	machine       machine
 }
 
 // disk holds the data that survives a crash.
@@ -171,6 +182,9 @@
 	h.frozenUntil, h.syncFails, h.snapshotIndex = 0, false, 0
 	h.replies = map[Token]func(proto.Message){}
 	h.appliedIndex, h.logHash = 0, 0
+	if h.sim.newMachine != nil {
+		h.machine = h.sim.newMachine(h)
+	}
 	if s := h.disk.snapshot; s != nil {
 		h.restore(s)
 	}
@@ -257,6 +271,10 @@
 		case Restore:
 			h.sim.installCount++
 			h.restore(f.Snapshot)
+		case ProposalAccepted, RequestRejected, LeadershipLost:
+			if h.machine != nil {
+				h.machine.handle(f)
+			}
 		}
 	}
 	h.sim.checkLeases()
@@ -411,16 +429,29 @@
 		}
 		h.appliedIndex, h.logHash = e.Index, nextLogHash(h.logHash, e)
 		h.sim.checkCommit(h, e)
+		if h.machine != nil {
+			h.machine.apply(e)
+		}
 	}
 	if h.appliedIndex >= h.snapshotIndex+20 {
 		h.snapshotIndex = h.appliedIndex
 		last := entries[len(entries)-1]
+		state := make([]byte, snapshotPadding)
+		if h.machine != nil {
+			state = append(state, h.machine.encode()...)
+		}
 		h.write(diskWrite{compact: &wire.Snapshot{Index: last.Index, Term: last.Term, LogMs: last.LogMs,
-			Members: h.sim.membershipAt(last.Index), State: binary.BigEndian.AppendUint64(make([]byte, 40), h.logHash)}})
+			Members: h.sim.membershipAt(last.Index), State: binary.BigEndian.AppendUint64(state, h.logHash)}})
 	}
 }
 
+// snapshotPadding makes the shortest snapshot several chunks long.
+const snapshotPadding = 40
+
 func (h *host) restore(s *wire.Snapshot) {
+	if h.machine != nil {
+		h.machine.restore(s.State[snapshotPadding : len(s.State)-8])
+	}
 	h.appliedIndex, h.snapshotIndex = s.Index, s.Index
 	h.logHash = binary.BigEndian.Uint64(s.State[len(s.State)-8:])
 	if h.logHash != h.sim.committed[s.Index-1].logHash {
