--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -10,6 +10,7 @@
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/rpc"
 )
 
@@ -19,7 +20,7 @@
 	now := g.Clock.Now()
 	var err error
 	if status == http.StatusServiceUnavailable {
-		notice.QuietFor, err = forward.QuietSpan(header, now)
+		notice.QuietFor, err = forward.QuietSpan(header, clock.System{}.Now()) // the time of day, for dates
 	}
 	if !notice.Leaving && notice.QuietFor == 0 && err == nil {
 		return
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -11,8 +11,10 @@
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/listener"
 )
 
 // ServeHTTP implements http.Handler.
@@ -29,7 +31,7 @@
 
 // serveRouted serves a request for an upstream.
 func (g *Gateway) serveRouted(w http.ResponseWriter, r *http.Request) {
-	c := newCall(w, r, g.Clock.Now())
+	c := newCall(w, r, g.Clock)
 	defer c.release()
 	key, f := c.parse()
 	if f == nil && r.ContentLength == 0 {
@@ -253,7 +255,7 @@
 	c.aborted = outcome == router.Abandoned || x.Aborted()
 	g.endAttempt(c, outcome, x.Elapsed)
 	if outcome != router.Answered {
-		BreakOff(c.r) // the caller must not take a partial response for a complete one
+		listener.BreakOff(c.r) // the caller must not take a partial response for a complete one
 	}
 	if x.Length != 0 {
 		_ = c.responseController().SetWriteDeadline(time.Time{})
@@ -278,7 +280,7 @@
 		h["Connection"] = []string{"close"}
 	}
 	if x.Length != 0 {
-		_ = c.responseController().SetWriteDeadline(c.deadline)
+		_ = c.responseController().SetWriteDeadline(clock.Deadline(c.clock, c.deadline))
 	}
 	c.responded = true
 	c.w.WriteHeader(x.Status)
@@ -324,7 +326,7 @@
 		g.abandonClaim(c)
 	}
 	if !c.bodyRead.Load() {
-		c.discardBody(g.Clock.Now())
+		c.discardBody()
 	}
 	if g.stopping.Load() {
 		c.w.Header().Set("Connection", "close")
