entry/proxy: a probe that reaches no upstream does not use up a round of the quarantine

A request that upstreams had at three crashes stayed refused for up to 18 minutes after an outage of its service of 25 s or more: its probes were claimed although no upstream was there to get them, and after three rounds without an outcome the pause is 18 minutes. VMs now claim a probe only while the balancer has an upstream for it, and a claimed probe that was not sent may be repeated in its round. What counts as sent is decided right before the first byte, so a round still reaches one upstream at most.

TestQuarantineEndsAfterAnOutage (20 s after the outage) and TestProbeThatReachedNoUpstreamIsRepeated failed before. Open: a probe that its upstream refuses as not run still counts.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -158,7 +158,11 @@
 	}
 	var info ResponseInfo
 	request.OnHead = func(status int, header http.Header) { info = c.readHead(upstream, status, header) }
-	request.BeforeSend = func() error { return c.proxy.checkRestriction(upstream) }
+	request.BeforeSend = func() error {
+		err := c.proxy.checkRestriction(upstream)
+		c.suspicion.sent = c.suspicion.sent || err == nil
+		return err
+	}
 	ctx, release := c.endWithStop()
 	defer release()
 	exchange, err := c.proxy.opts.Forward.Do(ctx, request)
--- a/entry/proxy/notice.go
+++ b/entry/proxy/notice.go
@@ -116,7 +116,7 @@
 	p := c.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return c.quietRefusalFor(c.newQuery(p.opts.Clock.Now()))
+	return c.quietRefusalFor(c.newQuery(p.opts.Clock.Now(), c.service))
 }
 
 // quietRefusalFor is quietRefusal with the query for the request; p.mu is held.
--- a/entry/proxy/outage_test.go
+++ b/entry/proxy/outage_test.go
@@ -45,3 +45,27 @@
 	}
 	t.Errorf("still quarantined %s after the outage", recovery)
 }
+
+// Guards against a round of the quarantine that is used up by a probe which reached no upstream.
+func TestProbeThatReachedNoUpstreamIsRepeated(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 0, answerOK)
+	lease := &clock.Fake{}
+	lease.Advance(time.Hour)
+	var board observation.Board
+	fx.opts.LeaseClock, fx.control = lease, exchangingControl{fx.Proxy, &board}
+	fx.suspect(3, http.MethodPost, "/safe/x", "ab")
+	up := fx.registry.Upstreams["u0"]
+	gone := up
+	gone.Address = freeAddress(t)
+	for _, c := range []struct {
+		upstream registry.Upstream
+		status   int
+	}{{gone, http.StatusServiceUnavailable}, {up, http.StatusOK}} {
+		fx.registry.Upstreams["u0"] = c.upstream
+		fx.registry.ChangedIndex++
+		fx.Update(fx.registry)
+		response, _ := fx.post("/safe/x", "ab", "key")
+		is.Equal(response.StatusCode, c.status)
+	}
+}
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -49,6 +49,8 @@
 	head  quarantine.Head // once computed
 	alone bool            // the call has its fingerprint in suspects.inFlight
 	probe bool
+	round int  // of the probe
+	sent  bool // the first byte of an attempt was or is being written
 }
 
 // crashCheck is a check whether an upstream has crashed, which several requests share.
@@ -164,6 +166,9 @@
 		case quarantine.Refuse:
 			return c.refuseSuspect(now, f, suspectCase, decision.RetryAfter)
 		case quarantine.MakeClaim:
+			if !c.hasUpstream() { // a probe without an outcome lengthens the quarantine
+				return refuseWithoutUpstream()
+			}
 			p.observe(observation.Fact{Kind: quarantine.Claim, Subject: string(f), VM: p.opts.VM.Name, Round: decision.Round}, quarantine.Lifetime)
 			continue
 		}
@@ -197,7 +202,7 @@
 		decision.Action = quarantine.Send
 	case quarantine.Probe:
 		s.usedRounds[f] = decision.Round
-		c.suspicion.probe = true
+		c.suspicion.probe, c.suspicion.round = true, decision.Round
 		c.logSuspect("probe", f, suspectCase, logrus.Fields{"round": decision.Round}, "sending one quarantined request")
 		c.proxy.metrics.probes.Inc(1)
 	default:
@@ -217,8 +222,12 @@
 	f, _ := c.fingerprint()
 	c.proxy.mu.Lock()
 	defer c.proxy.mu.Unlock()
-	delete(c.proxy.suspects.inFlight, f)
-	c.proxy.suspects.wake()
+	s := &c.proxy.suspects
+	delete(s.inFlight, f)
+	if c.suspicion.probe && !c.suspicion.sent && s.usedRounds[f] == c.suspicion.round {
+		s.usedRounds[f]-- // another request may be the round's probe
+	}
+	s.wake()
 }
 
 // completeBody reads the rest of a streamed body, without which the request's fingerprint is not known.
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -279,7 +280,7 @@
 		p.retryBudget.AddRequest(now, c.service)
 	}
 	request := admission.Request{LatencyTarget: c.route.LatencyTarget, Remaining: c.deadline.Sub(now), Elapsed: now.Sub(c.startedAt), Priority: c.priority, BestLatency: p.balancer.BestServiceTime(now, c.service, c.affinityObject() != ""), HasFreeSlots: true}
-	query := c.newQuery(now)
+	query := c.newQuery(now, c.service)
 	query.Tried, query.MaxWait = tried, admission.MaxWait(request)
 	if firstAttempt {
 		p.countDemand(query)
@@ -289,7 +290,7 @@
 		if quiet := c.quietRefusalFor(query); quiet != nil {
 			return choice, quiet
 		}
-		return choice, &refusal{status: http.StatusServiceUnavailable, reason: "no upstream is available for this request", retryAfter: maxRetryAfter / 4}
+		return choice, refuseWithoutUpstream()
 	}
 	request.ExpectedWait, request.ExpectedLatency, request.BestLatency, request.HasFreeSlots = choice.ExpectedWait, choice.ExpectedLatency, choice.BestLatency, choice.HasFreeSlots
 	if decision := admission.Decide(request); !decision.Admit {
@@ -309,12 +310,31 @@
 	return choice, nil
 }
 
-// newQuery returns the balancer's query for the request, without what differs between its attempts; p.mu is held.
-func (c *call) newQuery(now time.Time) *balancer.Query {
+func refuseWithoutUpstream() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no upstream is available for this request", retryAfter: maxRetryAfter / 4}
+}
+
+// hasUpstream reports whether an upstream may get the request now.
+func (c *call) hasUpstream() bool {
+	p := c.proxy
+	now := p.opts.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(c.route.Splits, func(s catalog.Split) bool {
+		if s.Weight <= 0 || c.service != "" && c.service != s.Service {
+			return false
+		}
+		_, ok := p.balancer.Choose(now, c.newQuery(now, s.Service))
+		return ok
+	})
+}
+
+// newQuery returns the balancer's query for the request to a service, without what differs between its attempts; p.mu is held.
+func (c *call) newQuery(now time.Time, name ident.Service) *balancer.Query {
 	p := c.proxy
-	service := p.table.Service(c.service)
+	service := p.table.Service(name)
 	return &balancer.Query{
-		Service: c.service, Object: c.affinityObject(), SpreadKey: c.caller.RequestID, RegionWeights: p.regionWeights[c.service], AllowOutOfRegion: p.allowsOutOfRegion(), Bytes: c.bodySize, LeaseNow: p.opts.LeaseClock.Now(), AllowedRegions: c.allowedRegions, DrainedDomains: p.drainedDomains,
+		Service: name, Object: c.affinityObject(), SpreadKey: c.caller.RequestID, RegionWeights: p.regionWeights[name], AllowOutOfRegion: p.allowsOutOfRegion(), Bytes: c.bodySize, LeaseNow: p.opts.LeaseClock.Now(), AllowedRegions: c.allowedRegions, DrainedDomains: p.drainedDomains,
 		AdmitsCold: func(upstream registry.Upstream) bool {
 			return upstream.Domain == p.opts.VM.Domain && p.coldLimiter.Admits(now, upstream.ID, service.ColdRate, p.domainVMs+1)
 		},
