--- a/entry/proxy/permission.go
+++ b/entry/proxy/permission.go
@@ -47,7 +47,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.opts.Clock.Now()
-	query := c.newQuery(now)
+	query := c.newQuery(now, c.service)
 	if r := p.balancer.RestrictionFor(query, choice.Upstream); r != balancer.Unrestricted {
 		return errors.Errorf("upstream %s is %s", choice.Upstream.ID, r)
 	}
