entry/router, entry/gateway: tokens of a rate are spent when a request is sent

A workspace got more than its burst.

Cause: the token was taken at the dispatch. The hand-over to the request's goroutine, the wait for a connection and for the router's lock lie between that and the first byte, while the bucket fills again. Requests that were dispatched one after the other then leave together with what the bucket holds by then. The 20 ms of the rate that VMs keep back cover the way only.

Change: a dispatch reserves a token (limit.Bucket.Reserve), which takes up room in the bucket until it is spent. Right before the first byte the gateway asks the router (SendStarting), which spends it, or answers Lapse where the share was lowered below the reservations or the lease, the configuration's age or the deadline ended in the meantime. The attempt then ends as Lapsed and the request is checked again. The cap of a shift is counted in the same way. Weighed: taking a second token for late sends, as the platform's door does, which costs callers across regions a token for each new connection.

--- a/entry/gateway/call.go
+++ b/entry/gateway/call.go
@@ -50,6 +50,7 @@
 	responded         bool          // the head of the response or refusal was written
 	mayHaveRun        bool          // an upstream may have run the request
 	aborted           bool          // this VM ended the latest attempt, so that the upstream may still run it
+	lapsed            bool          // the router did not allow the latest attempt to be sent
 	reusedConn        bool          // the latest attempt failed on a reused connection
 	upstreamTime      time.Duration // time spent waiting for upstreams
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -298,6 +298,10 @@
 		if c := g.calls[e.ID]; c != nil {
 			c.setAction(actionFinish)
 		}
+	case *router.Lapse:
+		if c := g.calls[e.ID]; c != nil {
+			c.lapsed = true
+		}
 	case *router.PauseTransfer:
 		g.pause = *e
 	case *router.RequestSync:
--- a/entry/gateway/notice.go
+++ b/entry/gateway/notice.go
@@ -38,13 +38,17 @@
 	entry.Info("upstream wants no requests")
 }
 
-// checkRestriction returns an error if the upstream of an attempt must not get a request now. It is called right before
-// the send.
-func (g *Gateway) checkRestriction(send *router.Send) error {
+// permitSend returns an error if an attempt must not be sent now. It is called right before the send.
+func (g *Gateway) permitSend(c *call, send *router.Send) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.Router.Restricted(g.Clock.Now(), send.Endpoint, send.Incarnation) {
+	now := g.Clock.Now()
+	if g.Router.Restricted(now, send.Endpoint, send.Incarnation) {
 		return errors.Errorf("upstream %s leaves or asked for a pause", send.Endpoint)
 	}
+	g.step(&router.SendStarting{At: now, ID: send.ID, Attempt: send.Attempt})
+	if c.lapsed {
+		return errors.Errorf("the request's share of a limit ended before it was sent to %s", send.Endpoint)
+	}
 	return nil
 }
--- a/entry/gateway/route.go
+++ b/entry/gateway/route.go
@@ -141,7 +141,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	c.uploadStarted = c.uploadStarted || !c.bodyBuffered
-	c.reusedConn, c.aborted = false, false
+	c.reusedConn, c.aborted, c.lapsed = false, false, false
 	q := c.forwardRequest(func(n int, fromUpstream bool) (time.Duration, int) { return g.throttle(c.id, n, fromUpstream) })
 	if q.Stream != nil {
 		if err := c.responseController().EnableFullDuplex(); err != nil {
@@ -152,7 +152,7 @@
 	}
 	send := c.send
 	q.OnHead = func(status int, header http.Header) { g.readHead(&send, status, header) }
-	q.BeforeSend = func() error { return g.checkRestriction(&send) }
+	q.BeforeSend = func() error { return g.permitSend(c, &send) }
 	sendStart := g.Clock.Now()
 	x, err := g.Forward.Do(ctx, q)
 	c.upstreamTime += g.Clock.Now().Sub(sendStart)
@@ -216,7 +216,7 @@
 		return true
 	}
 	switch {
-	case f.Reason == forward.StartedLate:
+	case f.Reason == forward.StartedLate || f.Reason == forward.Withheld && c.lapsed:
 		g.endAttempt(c, router.Lapsed, 0)
 	case f.Reason == forward.Withheld:
 		g.endAttempt(c, router.Withheld, 0)
--- a/entry/gateway/route_test.go
+++ b/entry/gateway/route_test.go
@@ -304,3 +304,35 @@
 		b.Equal(maxBytes, c.maxBytes)
 	}
 }
+
+// lapsingRouter does not let the first attempt be sent.
+type lapsingRouter struct {
+	Router
+	starts int
+}
+
+func (l *lapsingRouter) Step(e router.Event, out []router.Effect) []router.Effect {
+	s, ok := e.(*router.SendStarting)
+	if !ok {
+		return l.Router.Step(e, out)
+	}
+	if l.starts++; l.starts == 1 {
+		return append(out, &router.Lapse{ID: s.ID})
+	}
+	return l.Router.Step(e, out)
+}
+
+// Guards against sending an attempt whose share of a limit ended after its dispatch, and against giving its request up.
+func TestAttemptThatMayNotBeSentIsRepeated(t *testing.T) {
+	u := &recordingUpstream{body: "ok"}
+	b := newHarness(t, map[string]string{"claims": u.start(t)}, 0)
+	lapsing := &lapsingRouter{Router: b.gateway.Router}
+	b.gateway.mu.Lock()
+	b.gateway.Router = lapsing
+	b.gateway.mu.Unlock()
+	response, _, err := b.do(b.request("POST", "/claims/a", nil, "Idempotency-Key: 1"))
+	b.NoErr(err)
+	b.Equal(response.StatusCode, 200)
+	b.Equal(lapsing.starts, 2)
+	b.Equal(u.runCount(), 1)
+}
--- a/entry/router/dispatch.go
+++ b/entry/router/dispatch.go
@@ -42,12 +42,13 @@
 		}
 		return noSlot, out
 	}
-	if !w.bucket.Take(r.now, 1) {
+	if !w.bucket.Reserve(r.now) {
 		return noToken, out
 	}
 	if moved != nil {
 		r.stats.Shifted++
 	}
+	q.reserved, q.shift = true, moved
 	return started, r.beginAttempt(q, e, out)
 }
 
@@ -114,6 +115,34 @@
 	return append(out, &q.send)
 }
 
+// handleSendStart spends the tokens of an attempt, or lets it lapse. The limits hold for the times at which requests are
+// sent, which can be long after their dispatch.
+func (r *Router) handleSendStart(e *SendStarting, out []Effect) []Effect {
+	q := r.requests[e.ID]
+	if q == nil || q.state != sent || !q.reserved || e.Attempt != q.attempt+q.lapsed {
+		return out
+	}
+	if !r.spend(q) || !r.now.Before(q.send.StartBy) || !r.now.Before(q.deadline) {
+		q.lapse = Lapse{ID: q.id}
+		out = append(out, &q.lapse)
+	}
+	return r.dispatchAll(out)
+}
+
+// spend ends the reservations of an attempt's tokens, and reports whether the attempt may use them.
+func (r *Router) spend(q *request) bool {
+	if !q.reserved {
+		return true
+	}
+	q.reserved = false
+	ok := q.workspace.bucket.Spend(r.now)
+	if q.shift != nil {
+		ok = q.shift.bucket.Spend(r.now) && ok
+		q.shift = nil
+	}
+	return ok
+}
+
 // pickEndpoint returns the best candidate that has free capacity and that earlier
 // attempts do not exclude, or nil. If target is not nil, only endpoints to which
 // this shift moves traffic are considered; otherwise none to which the cap of a
@@ -159,7 +188,7 @@
 		if !q.spillDemanded {
 			shift.demand.add(r.now, 1)
 		}
-		shift.bucket.Take(r.now, 1)
+		shift.bucket.Reserve(r.now)
 		return e, shift
 	}
 	if q.attempt > 0 {
@@ -175,7 +204,7 @@
 			return e, nil
 		}
 		target := r.pickEndpoint(q, shift)
-		if target == nil || !shift.bucket.Take(r.now, 1) {
+		if target == nil || !shift.bucket.Reserve(r.now) {
 			return e, nil
 		}
 		shift.credit--
@@ -193,6 +222,7 @@
 	upstream := q.endpoint
 	r.releaseAttempt(upstream, q.region, e.Aborted)
 	q.endpoint, q.region, q.state = nil, nil, 0
+	r.spend(q) // unless SendStarting was reported
 	r.recordResponseTime(q, upstream, e)
 	switch e.Outcome {
 	case Answered:
--- a/entry/router/event.go
+++ b/entry/router/event.go
@@ -52,7 +52,7 @@
 	Broken                       // failed after a byte was sent and before a byte of a response was passed on
 	Truncated                    // failed after part of a response was passed on
 	Abandoned                    // the caller disconnected
-	Lapsed                       // no byte reached the upstream before Send.StartBy
+	Lapsed                       // no byte was sent, because Send.StartBy had passed or Step returned Lapse
 	Withheld                     // not sent, because the upstream left or asked for quiet after it was chosen
 )
 
@@ -68,6 +68,13 @@
 	Elapsed    time.Duration // from sending to the first byte of the response; 0 if not measured
 }
 
+// SendStarting asks, right before the first byte of an attempt is written, whether it may be. Step returns Lapse if not.
+type SendStarting struct {
+	At      time.Time
+	ID      RequestID
+	Attempt uint8 // copied from Send
+}
+
 // NoticeReceived reports what an upstream said about itself in a response.
 type NoticeReceived struct {
 	At          time.Time
@@ -108,6 +115,7 @@
 func (*RequestArrived) event()    {}
 func (*ClaimResult) event()       {}
 func (*AttemptEnded) event()      {}
+func (*SendStarting) event()      {}
 func (*NoticeReceived) event()    {}
 func (*TransferRequested) event() {}
 func (*RequestCancelled) event()  {}
@@ -147,6 +155,9 @@
 	StartBy       time.Time // end of the configuration's age and of the lease; the first byte must be written before
 }
 
+// Lapse answers SendStarting: the attempt must not be sent and ends as Lapsed.
+type Lapse struct{ ID RequestID }
+
 // PauseTransfer answers TransferRequested: the bytes may not move yet, and the
 // transfer must be requested again after Delay. Without this effect the bytes may
 // move. If MaxBytes is above 0, the next request must be for at most that many
@@ -171,6 +182,7 @@
 func (*Refuse) effect()        {}
 func (*Claim) effect()         {}
 func (*Send) effect()          {}
+func (*Lapse) effect()         {}
 func (*PauseTransfer) effect() {}
 func (*Done) effect()          {}
 func (*RequestSync) effect()   {}
--- a/entry/router/fleet_test.go
+++ b/entry/router/fleet_test.go
@@ -157,6 +157,17 @@
 	return e
 }
 
+// stepAndSend passes an event to the router and starts the attempts that it dispatches.
+func stepAndSend(r *Router, e Event) []Effect {
+	out := r.Step(e, nil)
+	for i := 0; i < len(out); i++ {
+		if s, ok := out[i].(*Send); ok {
+			out = append(out, r.Step(&SendStarting{At: r.now, ID: s.ID, Attempt: s.Attempt}, nil)...)
+		}
+	}
+	return out
+}
+
 // findSend returns the first Send among the effects, or nil.
 func findSend(out []Effect) *Send {
 	for _, e := range out {
--- a/entry/router/request.go
+++ b/entry/router/request.go
@@ -41,6 +41,8 @@
 	region               *region                // of the running attempt, which counts against the region's capacity
 	mayHaveRun           bool                   // an earlier attempt may have run
 	mayRetrySameEndpoint bool                   // the endpoint of the last attempt may be tried again
+	reserved             bool                   // the running attempt has tokens that are not spent yet
+	shift                *shift                 // against whose cap the running attempt counts, or nil
 	spillDemanded        bool                   // counted in the demand for a shift's cap that holds it back
 
 	queue      *queue
@@ -51,6 +53,7 @@
 	send  Send
 	claim Claim
 	done  Done
+	lapse Lapse
 	pause PauseTransfer
 }
 
--- a/entry/router/router.go
+++ b/entry/router/router.go
@@ -98,6 +98,9 @@
 	case *AttemptEnded:
 		r.advance(e.At)
 		return r.handleAttemptEnd(e, out)
+	case *SendStarting:
+		r.advance(e.At)
+		return r.handleSendStart(e, out)
 	case *NoticeReceived:
 		r.advance(e.At)
 		return r.handleNotice(e, out)
--- a/fleet/limit/limit.go
+++ b/fleet/limit/limit.go
@@ -10,6 +10,7 @@
 	rate       float64 // tokens per second
 	burst      float64
 	tokens     float64
+	reserved   float64   // tokens that were taken and not spent yet
 	refilledAt time.Time // time of the last refill
 	expiry     time.Time // end of the lease
 }
@@ -20,7 +21,7 @@
 	b.refill(now)
 	b.rate = rate
 	b.burst = burst
-	b.tokens = math.Min(b.tokens, burst)
+	b.tokens = math.Min(b.tokens, b.room())
 }
 
 // Renew extends the lease to expiry, or leaves it unchanged if that is earlier. If the lease had already expired, the
@@ -40,7 +41,7 @@
 		return
 	}
 	if now.After(b.refilledAt) {
-		b.tokens = math.Min(b.burst, b.tokens+b.rate*now.Sub(b.refilledAt).Seconds())
+		b.tokens = math.Min(b.room(), b.tokens+b.rate*now.Sub(b.refilledAt).Seconds())
 		b.refilledAt = now
 	}
 }
@@ -55,13 +56,33 @@
 	return true
 }
 
+// Reserve takes a token that is spent later. Until then it takes up room in the bucket, so that what is spent stays within
+// the rate and the burst however late it is. It returns false if there is no token or the lease has expired.
+func (b *Bucket) Reserve(now time.Time) bool {
+	if !b.Take(now, 1) {
+		return false
+	}
+	b.reserved++
+	return true
+}
+
+// Spend ends a reservation. It returns false if the token must not be used, because the burst was lowered meanwhile.
+func (b *Bucket) Spend(now time.Time) bool {
+	b.refill(now)
+	b.reserved--
+	return b.reserved+1 <= b.burst
+}
+
+// room returns the highest number of tokens that the bucket may hold now.
+func (b *Bucket) room() float64 { return math.Max(0, b.burst-b.reserved) }
+
 // WaitTime returns the time until n tokens are available, or false if the share can never hold that many.
 func (b *Bucket) WaitTime(now time.Time, n float64) (time.Duration, bool) {
 	b.refill(now)
 	if b.tokens >= n {
 		return 0, true
 	}
-	if b.burst < n || b.rate <= 0 {
+	if b.room() < n || b.rate <= 0 {
 		return 0, false
 	}
 	return time.Duration(math.Ceil((n - b.tokens) / b.rate * float64(time.Second))), true
--- a/fleet/limit/limit_test.go
+++ b/fleet/limit/limit_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// Guards against more spending than rate and burst allow because tokens are spent some time after they were taken.
+func TestReservedTokensTakeUpRoom(t *testing.T) {
+	is := is.New(t)
+	var b Bucket
+	b.Resize(start, 10, 5)
+	b.Renew(start, startPlus(time.Minute))
+	now := startPlus(time.Second)
+	for range 4 {
+		is.True(b.Reserve(now))
+	}
+	now = startPlus(10 * time.Second)
+	is.Equal(b.Tokens(now), 1.0) // the reservations fill the rest
+	_, possible := b.WaitTime(now, 2)
+	is.True(!possible)
+	is.True(b.Spend(now))
+	is.Equal(b.Tokens(startPlus(11*time.Second)), 2.0)
+	b.Resize(startPlus(11*time.Second), 10, 2)
+	is.True(!b.Spend(startPlus(11 * time.Second))) // 3 reservations, and a burst of 2
+	is.True(b.Spend(startPlus(11 * time.Second)))
+}
+
 // Guards against a wait time that is too short, and against one for more tokens than the burst allows.
 func TestWaitTime(t *testing.T) {
 	for _, c := range []struct {
