entry/proxy, entry/quarantine: a quarantine outlives a change of keys

A request that had crashed three upstreams was sent again as soon as its caller used another key of its workspace, as after a withdrawal: the key was part of the fingerprint. Upstreams see the workspace and not the key, so the workspace takes its place. Facts no longer carry hashes of keys.

TestQuarantineOutlivesAChangeOfKeys failed before.

--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -108,11 +108,7 @@
 // requestHead returns the part of the request's fingerprint that is known before its body.
 func (c *call) requestHead() quarantine.Head {
 	if c.suspicion.head == "" {
-		caller := c.caller.Key
-		if c.workspace == "" {
-			caller = "" // the key of no workspace does not reach upstreams
-		}
-		c.suspicion.head = quarantine.HeadOf(c.r.Method, c.r.Host, c.r.RequestURI, caller, int64(c.bodySize))
+		c.suspicion.head = quarantine.HeadOf(c.r.Method, c.r.Host, c.r.RequestURI, c.workspace, int64(c.bodySize))
 	}
 	return c.suspicion.head
 }
--- a/entry/proxy/quarantine_test.go
+++ b/entry/proxy/quarantine_test.go
@@ -21,7 +21,7 @@
 
 // suspect makes a request known from crashes of upstreams that are gone, a second apart.
 func (fx *fixture) suspect(crashes int, method, path, body string) {
-	f := quarantine.HeadOf(method, "h", path, "key", int64(len(body))).WithBody([]byte(body))
+	f := quarantine.HeadOf(method, "h", path, "w", int64(len(body))).WithBody([]byte(body))
 	now := fx.opts.LeaseClock.Now()
 	fx.mu.Lock()
 	defer fx.mu.Unlock()
@@ -102,7 +102,7 @@
 	is := is.New(t)
 	fx := newFixture(t, 0, answerOK)
 	const crashes = 200 // simultaneous, so that the request is not quarantined
-	f := quarantine.HeadOf("POST", "h", "/safe/x", "key", 2).WithBody([]byte("ab"))
+	f := quarantine.HeadOf("POST", "h", "/safe/x", "w", 2).WithBody([]byte("ab"))
 	var facts []observation.Fact
 	for i := range crashes {
 		facts = append(facts, observation.Fact{Kind: quarantine.Crash, Subject: string(f), Upstream: registry.UpstreamID(fmt.Sprint("gone", i)), StartedAt: 1})
@@ -118,3 +118,20 @@
 	is.Equal(fx.observations.Len(), 2*crashes)
 	is.Equal(triggers.Load(), int32(1))
 }
+
+// Guards against a request that crashes upstreams and is sent again as soon as its workspace changes its key.
+func TestQuarantineOutlivesAChangeOfKeys(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 0, answerOK)
+	changed := *fx.catalog
+	changed.Workspaces = maps.Clone(fx.catalog.Workspaces)
+	changed.Workspaces["w"] = catalog.Workspace{Name: "w", Keys: []string{"key", "new"}}
+	fx.registry.Catalog = &changed
+	fx.Update(fx.registry)
+	fx.suspect(3, "POST", "/safe/x", "ab")
+	for _, key := range []string{"key", "new"} {
+		response, _ := fx.post("/safe/x", "ab", key)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	}
+	is.Equal(fx.upstreamRequests.Load(), int32(0))
+}
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -4,10 +4,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
+
+	"cuminfall.example/fleet/ident"
 )
 
-// hashBytes is the length of each hash in a fingerprint. Callers choose what is hashed, but cannot use another caller's
-// API key, which is part of it.
+// hashBytes is the length of each hash in a fingerprint. Callers choose what is hashed, except for the workspace, which
+// follows from their key.
 const hashBytes = 8
 
 // Head identifies requests that are alike except for their bodies.
@@ -16,9 +18,10 @@
 // Fingerprint identifies requests that are the same to an upstream. It begins with the request's Head.
 type Fingerprint string
 
-// HeadOf returns the head of a request. Target is the request target with the query, and caller the API key.
-func HeadOf(method, host, target, caller string, bodyLength int64) Head {
-	return Head(hash([]byte(strconv.Quote(method) + strconv.Quote(host) + strconv.Quote(target) + strconv.Quote(caller) + strconv.FormatInt(bodyLength, 10))))
+// HeadOf returns the head of a request. Target is the request target with the query. Upstreams see the workspace and not
+// the key.
+func HeadOf(method, host, target string, workspace ident.Workspace, bodyLength int64) Head {
+	return Head(hash([]byte(strconv.Quote(method) + strconv.Quote(host) + strconv.Quote(target) + strconv.Quote(string(workspace)) + strconv.FormatInt(bodyLength, 10))))
 }
 
 // WithBody returns the fingerprint of a request with a head and a body.
