control/replica: a leader that stops as planned waits for its successor

What callers saw: TestScenarios/stop_all, line 12, "steady: ok is 717, rule ok%>=100", 387 requests refused as stale after the planned stop of the control leader, because no leader answered the entry VMs for seconds.

Cause: Handover returned as soon as this member had stepped down. The request to take over was then still to be sent by a goroutine, and the stop cancels it together with the member. The group waited for an election timeout, and its two remaining members could split their votes, each time for another one, where the vote of the stopping member would have decided.

Evidence: logs of stop_all kept with -testwork, of six failed runs at load averages of 50 to 55: in two the members became precandidates after the stop although the leader had stepped down at once, and one pair split its votes in the next terms. Of ten runs that passed, two at a time beside two busy loops (load average 10 to 16), five had a leader after 5 to 29 ms and five after 665 to 943 ms, by way of precandidates. In the other failed runs the leader had no contact with a majority before or some seconds after the stop, with 50 to 75 runnable threads on 8 processors.

Change: Handover returns once another member leads (or its context ends), so the request is sent and the stopping member votes.

Test: TestLeaderThatStopsHasASuccessor failed before in 6 of 6 runs, "handover took 1.118545164s", "not true: took < consensus.DefaultMinElection"; 30 of 30 handovers take 21 to 46 ms now, with the race detector.

--- a/control/replica/propose.go
+++ b/control/replica/propose.go
@@ -258,20 +258,20 @@
 	f()
 }
 
-// Handover transfers leadership to another voter and returns once this member is not the leader. It returns
-// an error if no other voter is reachable.
+// Handover transfers leadership to another voter and returns once that one leads. Until then this member must go on to run:
+// it sends the request to take over, and its vote may be needed. It returns an error if no other voter is reachable.
 func (r *Replica) Handover(ctx context.Context) error {
-	for {
+	for led := false; ; {
 		r.mu.Lock()
+		led = led || r.node.Status(r.nodeTime()).Role == consensus.Leader
 		r.stepLocked(consensus.StartHandover{At: r.nodeTime()})
 		s := r.node.Status(r.nodeTime())
-		notLeading := r.closed || s.Role != consensus.Leader
-		inProgress := r.node.HandingOver()
+		leading, inProgress, closed := s.Role == consensus.Leader, r.node.HandingOver(), r.closed
 		r.mu.Unlock()
-		if notLeading {
+		switch {
+		case closed || !led || !leading && s.LeaderID != "":
 			return nil
-		}
-		if !inProgress {
+		case leading && !inProgress:
 			return fault.New(fault.Unreachable, "handover", string(r.opts.Address), "no other voter is reachable")
 		}
 		if err := clock.Sleep(ctx, r.opts.Clock, tickInterval); err != nil {
