fleet/protocol, control/replica, entry/session: replies without an end are bounded

The address of a former member may be used by something else, which may answer with bytes without an end. A client read up to 64 MiB of each reply, and the twirp clients read without any limit; an entry VM asks all members at once when it looks for one to follow.

process.ReadBudget limits the replies that a client reads at the same time to 16 MiB and their heads to 64 KiB each.

--- a/control/replica/peers.go
+++ b/control/replica/peers.go
@@ -13,6 +13,7 @@
 	"cuminfall.example/control/consensus"
 	"cuminfall.example/control/consensus/wire"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
 )
 
 // peerClients holds one client and transport per address, so that a peer that does not reply does not
@@ -20,6 +21,7 @@
 type peerClients struct {
 	localAddr       net.Addr          // local address of connections; nil lets the operating system choose
 	sharedTransport http.RoundTripper // used for all addresses if not nil
+	replies         process.ReadBudget
 	mu              sync.Mutex
 	clients         map[ident.Address]*peerClient
 }
@@ -31,7 +33,7 @@
 }
 
 func newPeerClients(sharedTransport http.RoundTripper, localAddr net.Addr) *peerClients {
-	return &peerClients{sharedTransport: sharedTransport, localAddr: localAddr, clients: map[ident.Address]*peerClient{}}
+	return &peerClients{sharedTransport: sharedTransport, localAddr: localAddr, replies: process.ReadBudget{Max: process.MaxReplyBytes}, clients: map[ident.Address]*peerClient{}}
 }
 
 // client returns the client for an address and creates it if needed.
@@ -47,11 +49,11 @@
 		r.transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: requestTimeout, LocalAddr: p.localAddr}).DialContext,
 			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     time.Minute,
+			IdleConnTimeout:     time.Minute, MaxResponseHeaderBytes: process.MaxReplyHeaderBytes,
 		}
 		transport = r.transport
 	}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: p.replies.Transport(transport)}
 	r.Consensus = wire.NewConsensusProtobufClient("http://"+string(address), client)
 	p.clients[address] = r
 	return r
--- a/entry/session/session.go
+++ b/entry/session/session.go
@@ -15,6 +15,7 @@
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/rpc"
 )
 
@@ -61,6 +62,7 @@
 	leaderIndex         int // index in peers of the member to call first, usually the leader
 	configuredAddresses []ident.Address
 	jitter              *rand.Rand
+	replies             process.ReadBudget
 	failing             bool // the last sync failed
 }
 
@@ -75,7 +77,7 @@
 func New(o Options) *Session {
 	s := &Session{
 		clock: o.Clock, log: o.Log, syncInterval: o.SyncInterval, timeout: o.Timeout, configuredAddresses: o.ControlAddresses, localAddr: o.LocalAddr,
-		syncRequested: make(chan struct{}, 1), jitter: rand.New(rand.NewSource(o.JitterSeed)),
+		syncRequested: make(chan struct{}, 1), jitter: rand.New(rand.NewSource(o.JitterSeed)), replies: process.ReadBudget{Max: process.MaxReplyBytes},
 	}
 	if s.clock == nil {
 		s.clock = clock.System{}
@@ -100,11 +102,11 @@
 func (s *Session) newPeer(a ident.Address) *peer {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: s.timeout, KeepAlive: s.timeout, LocalAddr: s.localAddr}).DialContext,
-		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: process.MaxReplyHeaderBytes,
 	}
 	return &peer{
 		address: a, transport: transport,
-		client: rpc.NewSessionProtobufClient("http://"+string(a), &http.Client{Transport: transport}),
+		client: rpc.NewSessionProtobufClient("http://"+string(a), &http.Client{Transport: s.replies.Transport(transport)}),
 	}
 }
 
--- a/fleet/protocol/client.go
+++ b/fleet/protocol/client.go
@@ -16,6 +16,7 @@
 
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/process"
 )
 
 const (
@@ -28,7 +29,7 @@
 	// maxConsecutiveFailures is the number of consecutive failed calls after which all idle connections to a peer are
 	// closed, because the peer may no longer respond on them.
 	maxConsecutiveFailures = 3
-	// maxMessageBytes limits a message, which may contain the complete registry.
+	// maxMessageBytes limits a request, which may contain a complete catalog.
 	maxMessageBytes = 64 << 20
 )
 
@@ -36,8 +37,9 @@
 type Client struct {
 	LocalAddr net.Addr // local address of connections; nil means that the operating system selects it
 
-	mu    sync.Mutex
-	peers map[ident.Address]*peer
+	mu      sync.Mutex
+	peers   map[ident.Address]*peer
+	replies process.ReadBudget
 }
 
 // peer holds the connections to one address.
@@ -54,10 +56,11 @@
 	}
 	if c.peers == nil {
 		c.peers = map[ident.Address]*peer{}
+		c.replies.Max = process.MaxReplyBytes
 	}
 	p := &peer{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: c.LocalAddr}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: time.Minute,
+		MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: process.MaxReplyHeaderBytes,
 	}}
 	c.peers[address] = p
 	return p
@@ -68,7 +71,7 @@
 // call opens a new connection, because the peer may no longer respond on the existing ones.
 func (c *Client) Call(ctx context.Context, address ident.Address, path string, request, reply any) error {
 	p := c.peerFor(address)
-	err := call(ctx, p, "http://"+string(address)+path, request, reply)
+	err := call(ctx, c.replies.Transport(p), "http://"+string(address)+path, request, reply)
 	if err == nil {
 		p.failures.Store(0)
 		return nil
@@ -95,7 +98,7 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return err
 	}
--- a/fleet/protocol/client_test.go
+++ b/fleet/protocol/client_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -55,3 +61,66 @@
 	*c.n += int64(len(b))
 	return c.ResponseWriter.Write(b)
 }
+
+// Guards against replies without an end, from whatever answers at a former member's address, that use up the memory of a VM
+// with 184 MB.
+func TestEndlessRepliesAreBounded(t *testing.T) {
+	const memory, peers = 184 << 20, 6
+	for name, parts := range map[string][2]string{ // sent once, and then without end
+		"header": {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"body":   {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runtime.GC() // the garbage of other cases
+			var client Client
+			var calls sync.WaitGroup
+			var peak atomic.Uint64
+			for range peers {
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = l.Close() }()
+				go func() {
+					for {
+						c, err := l.Accept()
+						if err != nil {
+							return
+						}
+						_, _ = io.WriteString(c, parts[0])
+						for piece := strings.Repeat(parts[1], 64<<10/len(parts[1])); err == nil; {
+							_, err = io.WriteString(c, piece)
+						}
+						_ = c.Close()
+					}
+				}()
+				calls.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+					defer cancel()
+					if err := client.Call(ctx, ident.Address(l.Addr().String()), FollowPath, FollowRequest{}, nil); err == nil {
+						t.Error("a reply without an end is taken for one")
+					}
+				})
+			}
+			ended := make(chan struct{})
+			go func() { defer close(ended); calls.Wait() }()
+			for running := true; running; {
+				select {
+				case <-ended:
+					running = false
+				case <-time.After(5 * time.Millisecond):
+				}
+				var stats runtime.MemStats
+				runtime.ReadMemStats(&stats)
+				peak.Store(max(peak.Load(), stats.HeapInuse+stats.StackInuse))
+			}
+			if peak.Load() > memory/2 {
+				t.Errorf("%d MB in use, expected at most %d", peak.Load()>>20, memory/2>>20)
+			}
+			if held := client.replies.Held(); held != 0 {
+				t.Errorf("%d bytes are held after all calls, expected none", held)
+			}
+		})
+	}
+}
