fleet/listener, platform: requests without an end are bounded at control's servers

Control read the bodies of orders, announcements, reports and the messages of members into memory: announcements up to 64 KiB, orders and the messages between processes up to 64 MiB each, and the twirp servers without any limit. Heads had 1 MiB on each connection, and a body could go on for ever. Bytes without an end on a few connections ended the process.

A server now gives a request 10 s, its head 64 KiB, and the bodies of all requests that it serves 24 MiB together.

--- a/fleet/listener/server.go
+++ b/fleet/listener/server.go
@@ -15,7 +15,12 @@
 const (
 	serverSilenceTimeout = 10 * time.Second
 	serverHeaderTimeout  = time.Second
-	serverIdleTimeout    = 2 * time.Minute // longer than clients of the fleet keep a connection
+	serverReadTimeout    = 10 * time.Second // for a whole request
+	serverIdleTimeout    = 2 * time.Minute  // longer than clients of the fleet keep a connection
+	maxServerHeaderBytes = 64 << 10
+	// maxServerBodyBytes limits the bodies of all requests that are being served. The longest are configurations of thousands
+	// of routes, some MiB.
+	maxServerBodyBytes = 24 << 20
 	// closeIdleTimeout is how long a stopping server goes on to accept connections while it closes idle ones. Clients that
 	// connect later are ignored for a moment and refused then.
 	closeIdleTimeout = 500 * time.Millisecond
@@ -25,6 +30,7 @@
 type Server struct {
 	server   *http.Server
 	listener *Listener
+	bodies   process.ReadBudget
 	stopping atomic.Bool
 }
 
@@ -34,14 +40,17 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: l}
+	s := &Server{listener: l, bodies: process.ReadBudget{Max: maxServerBodyBytes}}
 	s.server = l.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		body := s.bodies.NewReader(r.Body)
+		defer func() { _ = body.Close() }() // the server closes it anyway
+		r.Body = body
 		h.ServeHTTP(w, r)
 	}), serverHeaderTimeout)
-	s.server.IdleTimeout = serverIdleTimeout
+	s.server.ReadTimeout, s.server.IdleTimeout, s.server.MaxHeaderBytes = serverReadTimeout, serverIdleTimeout, maxServerHeaderBytes
 	return s, nil
 }
 
