control/replica: members of a test's group do not lose their ports

What failed: TestGroup, "listen tcp 127.0.0.1:43953: bind: address already in use", once, beside tests of other packages (load average 27). Change: the addresses lie on a loopback host of the test's own process.

--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -79,8 +80,10 @@
 func newGroup(t *testing.T, size int) []*testMember {
 	var group []*testMember
 	var addresses []ident.Address
+	pid := os.Getpid()
 	for i := range size {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		// A loopback host of this process keeps other tests from taking the port.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&0x7f, pid>>8&0xff, pid&0xff))
 		if err != nil {
 			t.Fatal(err)
 		}
