scenario: a caller's latency counts all VMs that it tried

What was seen: the logs of a failed scenario gave a request that several entry VMs had refused in turn the time of its last attempt alone.

Cause: each attempt set the latency anew. Only this emulator is affected: load/caller takes its times around all attempts.

Change: the latency counts from the first attempt. No rule of a scenario uses it.

--- a/scenario/traffic_test.go
+++ b/scenario/traffic_test.go
@@ -32,7 +32,7 @@
 	execution fault.Execution
 	peer      string
 	body      string
-	latency   time.Duration
+	latency   time.Duration // with the attempts at other VMs before
 	// connections counts the connections on which the request was sent; with none, no VM was reached. There can be
 	// two, as net/http repeats a request that it takes for idempotent after its connection was lost.
 	connections int32
@@ -239,6 +239,7 @@
 		p["once"] = fmt.Sprintf("%s-%d", once, i)
 	}
 	var a response
+	startedAt := time.Now()
 	for n := range len(entries) {
 		p["entry"] = entries[(i+n)%len(entries)]
 		a = f.sendWith(client, p)
@@ -247,6 +248,7 @@
 			break
 		}
 	}
+	a.latency = time.Since(startedAt)
 	t.mu.Lock()
 	t.responses = append(t.responses, a)
 	t.mu.Unlock()
