--- a/control/ratelimit/ratelimit_test.go
+++ b/control/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -451,21 +452,26 @@
 
 // Guards against a new leader taking VMs that restarted one after the other for a loss of all VMs: it granted the limit
 // over the first window of its term while the requests of the earlier runs, which the earlier leader had counted, were
-// still within the window (soak seed 616).
+// still within the window (soak seeds 405 and 616).
 func TestRestartsBeforeLeaderChangeStayCounted(t *testing.T) {
-	for leaderDelay := 250 * time.Millisecond; leaderDelay <= 5*time.Second; leaderDelay += 250 * time.Millisecond {
-		t.Run(leaderDelay.String(), func(t *testing.T) {
-			g := newGroup("a", "b", "c", "d")
-			g.simulate(2*time.Second, 1, g.vms...)
-			for i := range 2 {
-				g.restart(i)
-				g.simulate(250*time.Millisecond, 1, g.vms...)
-			}
-			g.simulate(leaderDelay, 1, g.vms...)
-			g.changeLeader()
-			g.simulate(12*time.Second, 2, g.vms...)
-			g.check(t)
-		})
+	for _, tt := range []struct {
+		restarts int
+		after    time.Duration
+	}{{1, 500 * time.Millisecond}, {2, 2 * time.Second}} {
+		for leaderDelay := 250 * time.Millisecond; leaderDelay <= 5*time.Second; leaderDelay += 250 * time.Millisecond {
+			t.Run(fmt.Sprint(tt.restarts, " ", leaderDelay), func(t *testing.T) {
+				g := newGroup("a", "b", "c", "d")
+				g.simulate(tt.after, 1, g.vms...)
+				for i := range tt.restarts {
+					g.restart(i)
+					g.simulate(250*time.Millisecond, 1, g.vms...)
+				}
+				g.simulate(leaderDelay, 1, g.vms...)
+				g.changeLeader()
+				g.simulate(12*time.Second, 2, g.vms...)
+				g.check(t)
+			})
+		}
 	}
 }
 
