control/coordinator, fleet/registry, entry/proxy: crashes outlive a loss of all VMs

Requests that crash upstreams were sent again after all VMs had been killed or had lost power at once: the facts about crashes were only in memory, at entry VMs and at the leader.

A new leader puts them on its board and an entry VM restores them with its first registry, before it serves. Their age counts anew then, as no clock outlives a loss of power; this lengthens a quarantine. A claim is in the log before its VM learns that it won, and a VM that was started again does not use a round that it claimed before.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -303,6 +303,10 @@
 	if err := c.registerVM(ctx, term, q.VM); err != nil {
 		return nil, err
 	}
+	observed, err := c.exchangeFacts(ctx, term, q.Observed)
+	if err != nil {
+		return nil, err
+	}
 	now := c.opts.Clock.Now()
 	region := c.opts.Regions[q.VM.Domain]
 	var cat *catalog.Catalog
@@ -310,7 +314,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReports[q.VM.Name] = now
-	reply := protocol.ReportReply{Term: term, Lease: ratelimit.LeaseDuration, Observed: c.observations.Exchange(now, term, q.Observed)}
+	reply := protocol.ReportReply{Term: term, Lease: ratelimit.LeaseDuration, Observed: observed}
 	if q.AppliedTerm != term && !q.Full {
 		reply.FullReportRequired = true
 		return reply, nil
@@ -352,6 +356,7 @@
 	c.reportOrder = map[ident.VM]reportOrder{}
 	var mayHoldAllowances []ident.VM
 	c.opts.StateMachine.view(func(r *registry.Registry) {
+		c.observations.Restore(now, r.Kept)
 		for name, v := range r.VMs {
 			c.lastReports[name] = now
 			if since, recorded := c.downSince[name]; v.Up || !recorded || now.Sub(since) < c.rateAllocator.HolderTimeout() {
@@ -397,6 +402,7 @@
 		if term, _, leads := c.opts.Replica.Leadership(); leads {
 			c.beginTerm(term)
 			c.expireSilent(ctx, term)
+			c.keepFacts(ctx, term)
 		} else {
 			c.forwardLastSeen(ctx)
 		}
--- a/control/coordinator/statemachine.go
+++ b/control/coordinator/statemachine.go
@@ -89,6 +89,8 @@
 		fields["event"], fields["upstream"], fields["lost"] = "upstream_gone", c.Leave.ID, c.Leave.TimedOut
 	case c.VM != nil:
 		fields["event"], fields["vm"], fields["up"], fields["incarnation"] = "vm", c.VM.Name, c.VM.Up, c.VM.Incarnation
+	case c.Keep != nil:
+		fields["event"], fields["added"], fields["forgotten"] = "keep", len(c.Keep.Add), len(c.Keep.Forget)
 	}
 	m.log.Event(logrus.InfoLevel, "register", fields, "registry changed")
 }
--- a/entry/proxy/observe.go
+++ b/entry/proxy/observe.go
@@ -5,8 +5,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"cuminfall.example/entry/quarantine"
 	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/protocol"
+	"cuminfall.example/fleet/registry"
 )
 
 // observe records a fact that this VM learned from its traffic, and sends it to all other VMs. The caller must not hold
@@ -48,7 +50,28 @@
 func (p *Proxy) handleObservation(o observation.Observation, source string) {
 	p.opts.Log.Event(logrus.InfoLevel, "observed", logrus.Fields{"event": "observed", "kind": o.Kind, "subject": o.Subject, "upstream": o.Upstream,
 		"born": o.StartedAt, "of": o.VM, "round": o.Round, "age": o.Age.String(), "left": o.Left.String(), "source": source}, "fact about the traffic learned")
-	if o.Kind == observation.Leaving {
+	switch {
+	case o.Kind == observation.Leaving:
 		p.applyLeaving(o.Fact)
+	case o.Kind == quarantine.Claim && o.VM == p.opts.VM.Name && source != "":
+		f := quarantine.Fingerprint(o.Subject) // this VM claimed the round before it was started again, and may have used it
+		p.suspects.usedRounds[f] = max(p.suspects.usedRounds[f], o.Round)
+	}
+}
+
+// restoreFacts adds the facts that the registry keeps, once after the start; p.mu is held. Later ones come from the leader,
+// with their age.
+func (p *Proxy) restoreFacts(facts []registry.Fact) {
+	if p.restored {
+		return
+	}
+	p.restored = true
+	now := p.opts.LeaseClock.Now()
+	added := p.observations.Restore(now, facts)
+	for _, o := range added {
+		p.handleObservation(o, "log")
+	}
+	if len(added) > 0 {
+		p.judgeSuspects(now)
 	}
 }
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -104,6 +104,7 @@
 	linkDelay               throttle.LinkDelay
 	observations            observation.Set
 	suspects                suspects
+	restored                bool          // the facts that the registry keeps were added
 	reportAnswered          chan struct{} // closed when the next reply to a report is applied
 	startedAt               time.Time     // start of this process, by LeaseClock
 	reportSequence          uint64        // number of the last report
@@ -162,6 +163,7 @@
 	for id, u := range current.Upstreams {
 		endpoints = append(endpoints, forward.Endpoint{Address: u.Address, Incarnation: incarnationOf(id, u.StartedAt), MaxConnections: p.maxConnectionsFor(u.Service, len(current.VMs))})
 	}
+	p.restoreFacts(current.Kept)
 	p.domainVMs = 0
 	for _, vm := range current.VMs {
 		if vm.Domain == p.opts.VM.Domain {
--- a/entry/proxy/quarantine_test.go
+++ b/entry/proxy/quarantine_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
 
 	"cuminfall.example/entry/quarantine"
 	"cuminfall.example/fleet/catalog"
@@ -135,3 +138,69 @@
 	}
 	is.Equal(fx.upstreamRequests.Load(), int32(0))
 }
+
+// restart replaces the proxy by one without memory, which starts with the state of a registry.
+func (fx *fixture) restart(state []byte) {
+	fx.t.Helper()
+	if err := fx.registry.Restore(state); err != nil {
+		fx.t.Fatal(err)
+	}
+	fx.server.Close()
+	opts := fx.opts
+	opts.Metrics = metrics.NewRegistry()
+	fx.Proxy = New(opts)
+	fx.control = fakeControl{fx: fx}
+	fx.Update(fx.registry)
+	fx.retryBudget.VMs = 1
+	fx.server = httptest.NewServer(fx)
+	fx.t.Cleanup(fx.server.Close)
+}
+
+// stateWith returns the state of the registry with facts that it keeps.
+func (fx *fixture) stateWith(facts ...observation.Fact) []byte {
+	fx.t.Helper()
+	state, err := fx.registry.Encode()
+	if err != nil {
+		fx.t.Fatal(err)
+	}
+	kept, err := json.Marshal(facts)
+	if err != nil {
+		fx.t.Fatal(err)
+	}
+	return fmt.Appendf(state[:len(state)-1], `,"kept":%s}`, kept)
+}
+
+// crashesOf returns the facts that a request was at upstreams that crashed.
+func crashesOf(f quarantine.Fingerprint, upstreams ...registry.UpstreamID) (facts []observation.Fact) {
+	for _, u := range upstreams {
+		facts = append(facts, observation.Fact{Kind: quarantine.Crash, Subject: string(f), Upstream: u, StartedAt: 1})
+	}
+	return facts
+}
+
+// Guards against a request that crashes upstreams and is sent again by VMs that have all lost their memory.
+func TestQuarantineOutlivesALossOfAllVMs(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 0, answerOK)
+	f := quarantine.HeadOf("POST", "h", "/safe/x", "w", 2).WithBody([]byte("ab"))
+	fx.restart(fx.stateWith(crashesOf(f, "u1", "u2", "u3")...))
+	response, _ := fx.post("/safe/x", "ab", "key")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(fx.upstreamRequests.Load(), int32(0))
+}
+
+// Guards against a second probe of a round by a VM that has been started again since the first one.
+func TestRestartedVMDoesNotRepeatItsProbe(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 0, answerOK)
+	f := quarantine.HeadOf("POST", "h", "/safe/x", "w", 2).WithBody([]byte("ab"))
+	claim := observation.Fact{Kind: quarantine.Claim, Subject: string(f), VM: "vm", Round: 1}
+	var board observation.Board
+	board.Restore(fx.opts.LeaseClock.Now(), append(crashesOf(f, "u1", "u2", "u3"), claim))
+	fx.restart(fx.stateWith(append(crashesOf(f, "u1", "u2", "u3"), claim)...))
+	fx.control = exchangingControl{fx.Proxy, &board}
+	fx.control.TriggerReport()
+	response, _ := fx.post("/safe/x", "ab", "key")
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(fx.upstreamRequests.Load(), int32(0))
+}
--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -12,13 +12,9 @@
 
 // Kinds of facts. Their subject is a fingerprint.
 const (
-	// Crash says that the process of an upstream's lifetime ended while it had the request.
-	Crash observation.Kind = "crash"
-	// Answered says that an upstream answered the request after that crash.
-	Answered observation.Kind = "answered"
-	// Claim says that a VM wants to send the quarantined request as the probe of a round. The claim that the leader
-	// received first wins.
-	Claim observation.Kind = "claim"
+	Crash    = observation.Crash
+	Answered = observation.Answered
+	Claim    = observation.Claim
 )
 
 const (
--- a/fleet/observation/observation.go
+++ b/fleet/observation/observation.go
@@ -22,18 +22,11 @@
 	maxSubjectBytes = 128
 )
 
-// Kind says what a fact is about. VMs ignore kinds that they don't know.
-type Kind string
-
-// Fact is something that a VM learned from its traffic. Facts that two VMs learn about the same event are equal.
-type Fact struct {
-	Kind      Kind                `json:"kind"`
-	Subject   string              `json:"subject,omitempty"`  // as defined by the kind, at most 128 bytes
-	Upstream  registry.UpstreamID `json:"upstream,omitempty"` // the upstream that it concerns
-	StartedAt int64               `json:"born,omitempty"`     // start of that upstream's lifetime, as in registry.Upstream
-	VM        ident.VM            `json:"vm,omitempty"`       // the VM that it concerns
-	Round     int                 `json:"round,omitempty"`    // tells repeated events apart
-}
+// Kind says what a fact is about.
+type Kind = registry.FactKind
+
+// Fact is something that a VM learned from its traffic.
+type Fact = registry.Fact
 
 // Observation is a fact with its age, as it is sent.
 type Observation struct {
@@ -76,7 +69,7 @@
 	subject string
 }
 
-func (f Fact) topic() topic { return topic{f.Kind, f.Subject} }
+func topicOf(f Fact) topic { return topic{f.Kind, f.Subject} }
 
 // records are facts in the order of receipt. The zero value is empty.
 type records struct {
@@ -110,7 +103,7 @@
 		s.nextExpiry = r.expiresAt
 	}
 	s.byFact[o.Fact] = r
-	s.onTopic[o.topic()]++
+	s.onTopic[topicOf(o.Fact)]++
 	s.order = append(s.order, r)
 	if len(s.order) > maxFacts {
 		s.drop()
@@ -120,7 +113,7 @@
 
 // drop removes one fact. Facts that repeat about a subject are what VMs act on, so it removes one that is alone, if any.
 func (s *records) drop() {
-	i := max(slices.IndexFunc(s.order, func(r *record) bool { return s.onTopic[r.fact.topic()] == 1 }), 0)
+	i := max(slices.IndexFunc(s.order, func(r *record) bool { return s.onTopic[topicOf(r.fact)] == 1 }), 0)
 	s.forget(s.order[i].fact)
 	s.order = slices.Delete(s.order, i, i+1)
 }
@@ -128,8 +121,8 @@
 // forget removes a fact from the maps.
 func (s *records) forget(f Fact) {
 	delete(s.byFact, f)
-	if s.onTopic[f.topic()]--; s.onTopic[f.topic()] == 0 {
-		delete(s.onTopic, f.topic())
+	if s.onTopic[topicOf(f)]--; s.onTopic[topicOf(f)] == 0 {
+		delete(s.onTopic, topicOf(f))
 	}
 }
 
--- a/fleet/registry/command.go
+++ b/fleet/registry/command.go
@@ -64,6 +64,7 @@
 	Join   *Upstream       `json:"join,omitempty"`
 	Leave  *Departure      `json:"leave,omitempty"`
 	VM     *VM             `json:"vm,omitempty"`
+	Keep   *Keep           `json:"keep,omitempty"`
 }
 
 // Encode returns the command encoded for the replicated log.
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -27,6 +27,7 @@
 	VMs             map[ident.VM]VM              `json:"vms,omitempty"`
 	DrainEnded      map[ident.Domain]ident.Index `json:"since,omitempty"` // index of the command that last ended a drain of the domain
 	ChangedIndex    ident.Index                  `json:"moved"`           // index of the last command on Upstreams or VMs
+	Kept            []Fact                       `json:"kept,omitempty"`  // facts that outlive a loss of all VMs, in the order of the log
 	idByAddress     map[ident.Address]UpstreamID
 	acceptedSet     map[string]bool
 	departedRuns    map[UpstreamID]int64
@@ -103,6 +104,8 @@
 		r.ChangedIndex = index
 		r.VMs[c.VM.Name] = *c.VM
 		return Result{}
+	case c.Keep != nil:
+		return r.applyKeep(*c.Keep)
 	}
 	return Result{Code: fault.Invalid, Reason: "empty command"}
 }
