entry/quarantine: two probes of a request that crashes upstreams, 18 minutes apart

A quarantined request could reach upstreams in three probes that crashed them, besides copies in flight, within four minutes: the whole allowance of three retries after the third crash was used by the probes alone.

After a probe that crashed an upstream the next one follows after 18 minutes, and after two such probes there is none until facts expire. Probes without an outcome keep their pauses of 5 s, 15 s and 18 minutes. The tests of the pauses have the longer ones; TestProbesThatCrashedUpstreamsEnd had three probes before and has two, and TestProbesBeforeALossOfAllVMsCount, with the facts that the registry restores, fails without the change.

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -34,16 +34,14 @@
 	settleTime = time.Second
 	// probeTime is how long the other VMs wait for the outcome of a probe.
 	probeTime = 5 * time.Second
-	// crashPause is the pause after the first probe that crashed an upstream, and crashPauseGrowth the ratio of each
-	// further pause to the one before.
-	crashPause       = 30 * time.Second
-	crashPauseGrowth = 6
 	// silentPauseGrowth is the ratio of the pauses after probes without an outcome. The first one is probeTime.
 	silentPauseGrowth = 3
-	// maxProbes is the number of probes after which there are no others until facts expire, if each one crashed an
-	// upstream. If one had no outcome, others follow after maxPause each.
-	maxProbes = 3
-	// maxPause limits the pause between two probes.
+	// maxCrashingProbes is the number of probes that crashed an upstream after which there are no others until facts
+	// expire.
+	maxCrashingProbes = 2
+	// maxFrequentProbes is the number of probes after which others follow after maxPause each.
+	maxFrequentProbes = 3
+	// maxPause is the pause after a probe that crashed an upstream, and the longest one between two probes.
 	maxPause = 18 * time.Minute
 )
 
@@ -172,14 +170,14 @@
 		}
 	}
 	switch {
-	case crashed >= maxProbes:
+	case crashed >= maxCrashingProbes:
 		return now.Add(Lifetime)
-	case len(c.rounds) >= maxProbes:
+	case len(c.rounds) >= maxFrequentProbes:
 		return c.rounds[last].claimedAt.Add(maxPause)
 	case !c.crashedBetween(last):
-		return c.rounds[last].claimedAt.Add(pause(probeTime, silentPauseGrowth, len(c.rounds)-crashed))
+		return c.rounds[last].claimedAt.Add(silentPause(len(c.rounds) - crashed))
 	}
-	return c.crashes[len(c.crashes)-1].Add(pause(crashPause, crashPauseGrowth, crashed))
+	return c.crashes[len(c.crashes)-1].Add(maxPause)
 }
 
 // crashedBetween reports whether an upstream crashed between the claim of a round and that of the next one.
@@ -189,9 +187,9 @@
 	})
 }
 
-// pause returns the nth pause of a growing series, at most maxPause.
-func pause(first time.Duration, growth float64, n int) time.Duration {
-	return time.Duration(min(float64(first)*math.Pow(growth, float64(n-1)), float64(maxPause)))
+// silentPause returns the pause after the nth probe without an outcome.
+func silentPause(n int) time.Duration {
+	return time.Duration(min(float64(probeTime)*math.Pow(silentPauseGrowth, float64(n-1)), float64(maxPause)))
 }
 
 // Answers returns the facts which say that the request was answered after the crashes.
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -167,8 +167,8 @@
 		"no claim":                 {claimed, 5 * s, "x", 0, Decision{Action: Refuse, RetryAfter: 4 * s}},
 		"the probe is under way":   {claimed, 5 * s, "w", 1, Decision{Action: Refuse, RetryAfter: 4 * s}},
 		"the probe had no outcome": {claimed, 9 * s, "v", 0, Decision{Action: MakeClaim, Round: 2}},
-		"the probe crashed":        {append(claimed, crash(5*s, deadly, "d")), 6 * s, "v", 0, Decision{Action: Refuse, RetryAfter: 29 * s}},
-		"after the pause":          {append(claimed, crash(5*s, deadly, "d")), 35 * s, "v", 0, Decision{Action: MakeClaim, Round: 2}},
+		"the probe crashed":        {append(claimed, crash(5*s, deadly, "d")), 6 * s, "v", 0, Decision{Action: Refuse, RetryAfter: maxPause - s}},
+		"after the pause":          {append(claimed, crash(5*s, deadly, "d")), 5*s + maxPause, "v", 0, Decision{Action: MakeClaim, Round: 2}},
 		"the probe was answered":   {append(claimed, answer(5*s, deadly, "a"), answer(5*s, deadly, "b"), answer(5*s, deadly, "c")), 6 * s, "v", 0, Decision{Action: Send}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -205,7 +205,7 @@
 			is.True(decision.RetryAfter > 0)
 		}
 	}
-	is.Equal(sent, 3)
+	is.Equal(sent, 2)
 }
 
 // Guards against a request that stays refused although no probe has told whether it crashes upstreams.
@@ -221,3 +221,40 @@
 	}
 	is.Equal(strings.Join(at, " "), "3s 8s 23s 18m23s 36m23s 54m23s")
 }
+
+// restored returns the facts of a VM that has lost its memory and restored what the registry keeps.
+func restored(happenings ...happening) *observation.Set {
+	var set observation.Set
+	var facts []observation.Fact
+	for _, h := range happenings {
+		facts = append(facts, h.fact)
+	}
+	set.Restore(epoch, facts)
+	return &set
+}
+
+// Guards against further probes of a request that crashes upstreams because all VMs have lost power.
+func TestProbesBeforeALossOfAllVMsCount(t *testing.T) {
+	first := threeCrashes(claim(0, deadly, "w", 1), crash(0, deadly, "d"))
+	second := append(first, claim(0, deadly, "w", 2), crash(0, deadly, "e"))
+	for name, c := range map[string]struct {
+		happenings []happening
+		least      time.Duration
+	}{
+		"first probe":  {first, maxPause - 10*time.Second},
+		"second probe": {second, Lifetime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			decision := judge(0, restored(c.happenings...), deadly).Decide(epoch, "v", 0)
+			is.Equal(decision.Action, Refuse)
+			is.True(decision.RetryAfter >= c.least)
+		})
+	}
+}
+
+// Guards against crashes that seem simultaneous because a VM restored them at once.
+func TestRestoredCrashesAreNotSimultaneous(t *testing.T) {
+	is := is.New(t)
+	is.Equal(judge(0, restored(threeCrashes()...), deadly).State(epoch), Quarantined)
+}
