entry/quarantine: a probe whose outcome was lost with its VM counts as one that crashed an upstream

A quarantined request was probed again 5 s after a probe during which all VMs were killed: nobody knew its outcome, so that the round counted as one without an outcome.

The case "outcome is lost" of TestProbesBeforeALossOfAllVMsCount failed before.

--- a/entry/quarantine/quarantine.go
+++ b/entry/quarantine/quarantine.go
@@ -91,6 +91,7 @@
 	winner      ident.VM  // empty if the leader has not returned any claim
 	winnerOrder uint64
 	claimants   []ident.VM
+	restored    bool // claimed before this VM started, so that its outcome may be lost
 }
 
 // Case is what is known about a request that upstreams had when they crashed.
@@ -165,7 +166,7 @@
 func (c *Case) nextProbe(now time.Time) time.Time {
 	crashed, last := 0, len(c.rounds)-1
 	for i := range c.rounds {
-		if c.crashedBetween(i) {
+		if c.mayHaveCrashed(i) {
 			crashed++
 		}
 	}
@@ -174,15 +175,19 @@
 		return now.Add(Lifetime)
 	case len(c.rounds) >= maxFrequentProbes:
 		return c.rounds[last].claimedAt.Add(maxPause)
-	case !c.crashedBetween(last):
+	case !c.mayHaveCrashed(last):
 		return c.rounds[last].claimedAt.Add(silentPause(len(c.rounds) - crashed))
 	}
-	return c.crashes[len(c.crashes)-1].Add(maxPause)
+	latest := c.crashes[len(c.crashes)-1]
+	if claimedAt := c.rounds[last].claimedAt; claimedAt.After(latest) {
+		latest = claimedAt
+	}
+	return latest.Add(maxPause)
 }
 
-// crashedBetween reports whether an upstream crashed between the claim of a round and that of the next one.
-func (c *Case) crashedBetween(i int) bool {
-	return slices.ContainsFunc(c.crashes, func(at time.Time) bool {
+// mayHaveCrashed reports whether an upstream crashed between the claim of a round and that of the next one, or may have.
+func (c *Case) mayHaveCrashed(i int) bool {
+	return c.rounds[i].restored || slices.ContainsFunc(c.crashes, func(at time.Time) bool {
 		return !at.Before(c.rounds[i].claimedAt) && (i+1 == len(c.rounds) || at.Before(c.rounds[i+1].claimedAt))
 	})
 }
--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -241,12 +241,14 @@
 		happenings []happening
 		least      time.Duration
 	}{
-		"first probe":  {first, maxPause - 10*time.Second},
-		"second probe": {second, Lifetime},
+		"first probe":     {first, maxPause - 10*time.Second},
+		"second probe":    {second, Lifetime},
+		"outcome is lost": {first[:4], maxPause - 10*time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			decision := judge(0, restored(c.happenings...), deadly).Decide(epoch, "v", 0)
+			now := probeTime
+			decision := judge(now, restored(c.happenings...), deadly).Decide(epoch.Add(now), "v", 0)
 			is.Equal(decision.Action, Refuse)
 			is.True(decision.RetryAfter >= c.least)
 		})
--- a/entry/quarantine/table.go
+++ b/entry/quarantine/table.go
@@ -106,6 +106,7 @@
 		}
 		r := &c.rounds[i]
 		r.claimants = append(r.claimants, f.VM)
+		r.restored = r.restored || facts.Restored(f)
 		if learnedAt.Before(r.claimedAt) {
 			r.claimedAt = learnedAt
 		}
--- a/fleet/observation/kept.go
+++ b/fleet/observation/kept.go
@@ -96,11 +96,18 @@
 	return s.records.restore(now, facts)
 }
 
+// Restored reports whether this VM has a fact from Restore, and from no VM before.
+func (s *Set) Restored(f Fact) bool {
+	r := s.records.byFact[f]
+	return r != nil && r.restored
+}
+
 func (s *records) restore(now time.Time, facts []Fact) (added []Observation) {
 	for i, f := range facts {
 		// Different ages preserve the order of the log.
 		o := Observation{Fact: f, Age: restoredAge + time.Duration(len(facts)-i)*time.Millisecond, Left: maxLifetime}
-		if _, isNew := s.add(now, o); isNew {
+		if r, isNew := s.add(now, o); isNew {
+			r.restored = true
 			added = append(added, o)
 		}
 	}
