entry/proxy: callers' bodies share a limit of memory

Two uploads of 64 MiB, which the default limits allow, took the memory of a VM with 184 MB; the process would be killed, and its callers would repeat them at the next VM. Cause: each upload was kept whole until its answer, in a slice that grew by copies, with no limit for all of them. Now bodies with a Content-Length share 72 MiB and bodies in chunks 16 MiB, in blocks of 64 KiB that are taken as bytes arrive and given back when the request ends. Short bodies (below 16 KiB) do not count.

An upload with a Content-Length that finds no free block is passed on without being kept and gets no further attempt, as that is simpler than to end it midway and no upload is lost by it; its digest goes on, so that one which crashes upstreams is still recognized. A body in chunks, and an upload that a quarantine has to read whole, is refused before any of it is sent: 503 and Retry-After, logged with the reason. A body in chunks of more than 16 MiB gets 413, which is new. Counters front.bodies.refused and front.bodies.unkept, gauge front.bodies.bytes, log line unkept.

The tests in bodymemory_test.go fail with the release of blocks, the end of attempts, the end of a suspect's reading, the digest or the position in the blocks taken out, one at a time.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -80,7 +80,7 @@
 		case !last.withheld:
 			connectFailures++
 		}
-		if !last.retryable || last.mayHaveArrived && !c.mayRetrySuspect(last) || connectFailures >= maxConnectFailures || last.mayHaveArrived && !c.takeRetry(sends) {
+		if !last.retryable || last.mayHaveArrived && !c.mayRetrySuspect(last) || connectFailures >= maxConnectFailures || c.upload != nil && !c.upload.isKept() || last.mayHaveArrived && !c.takeRetry(sends) {
 			return c.finish(reported, nil)
 		}
 		c.proxy.opts.Log.Event(logrus.InfoLevel, "again", c.logFields("again"), "retrying request at another upstream")
@@ -164,7 +164,7 @@
 	}
 	if c.upload != nil {
 		request.Body, request.Stream, request.Length, request.Interrupt = nil, c.upload.newReader(), int64(c.bodySize), c.upload.interrupt
-		defer c.upload.restoreDeadline()
+		defer c.endUploadAttempt()
 	}
 	var info ResponseInfo
 	request.OnHead = func(status int, header http.Header) { info = c.readHead(upstream, status, header) }
--- a/entry/proxy/buffer.go
+++ b/entry/proxy/buffer.go
@@ -26,17 +26,19 @@
 	return errors.Errorf("the upstream's response states no length and has more than %d bytes", limit)
 }
 
-// bufferBudget limits the memory of all buffered responses together. The zero value allows nothing.
+// bufferBudget limits the memory of buffers together. The zero value allows nothing.
 type bufferBudget struct{ free atomic.Int64 }
 
 func (b *bufferBudget) take(n int64) bool {
 	if b.free.Add(-n) >= 0 {
 		return true
 	}
-	b.free.Add(n)
+	b.give(n)
 	return false
 }
 
+func (b *bufferBudget) give(n int64) { b.free.Add(n) }
+
 // blockSize is the size of a buffer's blocks in bytes.
 const blockSize = 16 << 10
 
@@ -62,7 +64,7 @@
 // release gives the blocks back.
 func (b *responseBuffer) release() {
 	if len(b.blocks) > 1 {
-		b.budget.free.Add(int64(len(b.blocks)-1) * blockSize)
+		b.budget.give(int64(len(b.blocks)-1) * blockSize)
 	}
 	for _, block := range b.blocks {
 		blocks.Put(block)
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -84,7 +84,7 @@
 	stop    stop
 	metrics requestMetrics
 
-	responseMemory bufferBudget
+	responseMemory, bodyMemory, chunkedBodyMemory bufferBudget
 
 	mu                      sync.Mutex
 	table                   *catalog.Table
@@ -122,6 +122,8 @@
 	if o.ResponseMemory <= 0 {
 		p.responseMemory.free.Store(defaultResponseMemory)
 	}
+	p.bodyMemory.give(bodyMemory)
+	p.chunkedBodyMemory.give(chunkedBodyMemory)
 	p.suspects = newSuspects()
 	p.rateLimiter.RequireFullReport()
 	p.startedAt = o.LeaseClock.Now()
@@ -129,6 +131,7 @@
 	p.retryBudget.Bounds, p.coldLimiter.Bounds, p.rateLimiter.Bounds = o.Bounds, o.Bounds, o.Bounds
 	p.retryBudget.VMs = assumedVMs
 	p.registerGauges()
+	p.registerBodyGauge()
 	return p
 }
 
@@ -232,6 +235,7 @@
 type requestMetrics struct {
 	requests, answered, refused, limited, retried, broken metrics.Counter
 	leaving, quiet, withheld                              metrics.Counter
+	bodiesRefused, bodiesNotKept                          metrics.Counter
 	totalTime, upstreamTime                               metrics.Histogram
 	crashes, quarantineRefused, probes                    metrics.Counter // requests at crashed upstreams, refused requests, probes
 	suspectRequests, quarantinedRequests, observations    metrics.Gauge
@@ -252,6 +256,7 @@
 	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge("front."+name, registry) }
 	return requestMetrics{counter("requests"), counter("answered"), counter("refused"), counter("limited"), counter("retried"), counter("broken"),
 		counter("leaving"), counter("quiet"), counter("withheld"),
+		counter("bodies.refused"), counter("bodies.unkept"),
 		histogram("total"), histogram("upstream"), counter("crashes"), counter("quarantine.refused"), counter("quarantine.probes"),
 		gauge("quarantine.suspects"), gauge("quarantine.held"), gauge("observations")}
 }
--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"cuminfall.example/entry/balancer"
@@ -119,10 +121,10 @@
 	if c.upload == nil {
 		return c.requestHead().WithBody(c.body), true
 	}
-	if len(c.upload.buffered) < int(c.bodySize) {
+	if c.upload.received < int(c.bodySize) {
 		return "", false
 	}
-	return c.requestHead().WithBody(c.upload.buffered), true
+	return c.requestHead().WithDigest([sha256.Size]byte(c.upload.sum())), true
 }
 
 // passQuarantine returns a refusal if the request must not be sent. If another one with the same fingerprint is suspect
@@ -233,13 +235,15 @@
 	if _, ok := c.fingerprint(); ok {
 		return nil
 	}
-	body := c.upload.newReader()
+	body := keptReader{c.upload.newReader()}
 	endReading := context.AfterFunc(c.proxy.stop.ended, func() { _ = c.upload.controller.SetReadDeadline(time.Unix(1, 0)) })
 	_, err := io.Copy(io.Discard, body)
 	endReading()
 	switch _, complete := c.fingerprint(); {
 	case err == nil && complete:
 		return nil
+	case errors.Is(err, errNotKept):
+		return c.refuseBody()
 	case c.endedByStop():
 		return c.refuseAtEnd()
 	case c.upload.timedOut():
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -81,6 +81,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{proxy: p, w: w, r: r, startedAt: p.opts.Clock.Now()}
 	p.metrics.requests.Inc(1)
+	defer c.releaseBody()
 	refused := c.admit()
 	if refused == nil {
 		refused = c.tryUpstreams()
@@ -180,30 +181,40 @@
 	if limits != nil && limits.MaxBodyBytes > 0 {
 		maxSize = min(maxSize, int64(limits.MaxBodyBytes))
 	}
+	if c.r.ContentLength < 0 {
+		maxSize = min(maxSize, chunkedBodyMemory)
+	}
 	if c.r.ContentLength > maxSize {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "request body is larger than the limit"}
 	}
 	controller := http.NewResponseController(c.w)
 	if c.r.ContentLength >= minStreamedBody {
-		c.upload = &upload{source: c.r.Body, controller: controller, deadline: c.deadline}
+		c.upload = &upload{source: c.r.Body, controller: controller, deadline: c.deadline, kept: bodyBuffer{budget: &p.bodyMemory}}
 		c.bodySize = ident.Bytes(c.r.ContentLength)
 		return nil
 	}
 	_ = controller.SetReadDeadline(c.deadline) // fails only if the connection is already closed
 	readOn := context.AfterFunc(p.stop.ended, func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, maxSize))
+	source := http.MaxBytesReader(c.w, c.r.Body, maxSize)
+	body, err := io.ReadAll(io.LimitReader(source, minStreamedBody))
+	if err == nil && len(body) == minStreamedBody {
+		c.upload = &upload{source: source, controller: controller, deadline: c.deadline, kept: bodyBuffer{budget: &p.chunkedBodyMemory}}
+		err = c.upload.receive(body)
+	}
 	readOn()
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{}) // else the server would wait for the rest of the body before the refusal
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil && c.upload != nil:
+		c.bodySize = ident.Bytes(c.upload.received)
+		return nil
 	case err == nil:
 		c.body, c.bodySize = body, ident.Bytes(len(body))
-		if len(body) >= minStreamedBody {
-			c.upload = &upload{controller: controller, deadline: c.deadline, buffered: body, readErr: io.EOF}
-		}
 		return nil
+	case errors.Is(err, errNotKept):
+		return c.refuseBody()
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "request body is larger than the limit"}
 	case errors.Is(err, os.ErrDeadlineExceeded) && p.stop.ended.Err() != nil:
--- a/entry/quarantine/fingerprint.go
+++ b/entry/quarantine/fingerprint.go
@@ -25,7 +25,12 @@
 }
 
 // WithBody returns the fingerprint of a request with a head and a body.
-func (h Head) WithBody(body []byte) Fingerprint { return Fingerprint(string(h) + hash(body)) }
+func (h Head) WithBody(body []byte) Fingerprint { return h.WithDigest(sha256.Sum256(body)) }
+
+// WithDigest returns the fingerprint of a request with a head and a body that has the given SHA-256 digest.
+func (h Head) WithDigest(digest [sha256.Size]byte) Fingerprint {
+	return Fingerprint(string(h) + hex.EncodeToString(digest[:hashBytes]))
+}
 
 // Head returns the head of a fingerprint.
 func (f Fingerprint) Head() Head { return Head(f[:min(len(f), hex.EncodedLen(hashBytes))]) }
