entry/follower: a member that failed a follow request is followed last

A member that answers searches first and nothing else, as one whose replies with entries do not arrive, was followed again and again, for 2.5 s each, while the VM's configuration grew older than its limit of 4 s and its requests would be refused as stale.

Cause: a search follows the first member that answers, also the one that has just failed. TestFollowsMemberInContactWithMajority ("index 3, want 5") met it: the unresponsive member won the race of a search 3 times in 12 runs (5.0 s in place of 2.5 s), and the test fails if it wins three in a row.

Change: a member whose follow request failed within the last 3 s is followed only if no other member that answers the search can be.

TestMemberThatAnswersOnlySearchesIsNotFollowedAgain failed before ("registry is at index 0, want 5" after 10 s) and passes in 2.6 s; 12 of 12 runs of TestFollowsMemberInContactWithMajority take 2.5 s (load average 14). The package passed twice with -race.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -36,7 +36,8 @@
 	reportInterval = 500 * time.Millisecond
 	// minReportInterval is the minimum time between two reports; triggers that arrive meanwhile share one report.
 	minReportInterval = 60 * time.Millisecond
-	// failedMemberPause is how long a member that did not accept a report is skipped if another member can be tried.
+	// failedMemberPause is how long a member that did not answer a report or a follow request is skipped if another
+	// member can be tried.
 	failedMemberPause = 3 * time.Second
 	// reportTimeout bounds one report, including the time in which a member forwards it to the leader.
 	reportTimeout = 900 * time.Millisecond
@@ -77,11 +78,14 @@
 	// The fields below are used only by Run's goroutine.
 	registry    *registry.Registry
 	targetIndex ident.Index // log index of the followed member when it was chosen
+	// lastFollowFailure is when a follow request to a member last failed. A member may answer searches and nothing else.
+	lastFollowFailure map[ident.Address]time.Time
 }
 
 // New returns a follower with an empty registry; Run starts it.
 func New(o Options) *Follower {
-	return &Follower{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, seeds: o.Seeds, registry: registry.New(), reportTrigger: make(chan struct{}, 1), lastFailure: map[ident.Address]time.Time{}}
+	return &Follower{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, seeds: o.Seeds, registry: registry.New(), reportTrigger: make(chan struct{}, 1),
+		lastFailure: map[ident.Address]time.Time{}, lastFollowFailure: map[ident.Address]time.Time{}}
 }
 
 // TriggerReport makes Run send the next report without waiting for the regular interval.
@@ -120,6 +124,9 @@
 			continue
 		}
 		reply, err := f.fetchChanges(ctx, member)
+		if err != nil {
+			f.lastFollowFailure[member] = f.opts.Clock.Now()
+		}
 		if err == nil && reply.Isolated {
 			err = fault.New(fault.Isolated, "follow", string(member), "member has no contact with a majority of the control group")
 		}
@@ -175,8 +182,9 @@
 }
 
 // findMember queries all known addresses concurrently and follows the first member that answers, has contact with a
-// majority, has caught up and is not behind this VM; it returns false if there is none. It requests no state, because the state of
-// all members at once would saturate a small VM's link for longer than callers and the search itself wait.
+// majority, has caught up and is not behind this VM; it returns false if there is none. A member that recently failed
+// a follow request is followed only if no other can be. It requests no state, because the state of all members at once
+// would saturate a small VM's link for longer than callers and the search itself wait.
 func (f *Follower) findMember(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -193,25 +201,44 @@
 			results <- probeResult{address, reply, err}
 		}()
 	}
-	found := false
+	var failedBefore *probeResult // the first member that could be followed, but failed recently
 	for range addresses {
 		result := <-results
-		if result.err != nil || found {
+		if result.err != nil {
 			continue
 		}
 		f.setMembers(result.reply.Members)
 		if result.reply.Isolated || result.reply.CatchingUp || result.reply.Index < f.registry.Index {
 			continue
 		}
-		f.targetIndex = result.reply.Index
-		f.setLeader(result.reply.Leader)
-		found = true
-		f.setFollowedMember(result.member)
-		f.opts.Log.WithFields(logrus.Fields{"event": "dependency_regained", "member": result.member, "index": f.registry.Index}).
-			Info("following control member")
-		cancel()
+		if !f.failedRecently(result.member) {
+			f.follow(result.member, result.reply)
+			return true
+		}
+		if failedBefore == nil {
+			failedBefore = &result
+		}
+	}
+	if failedBefore == nil {
+		return false
 	}
-	return found
+	f.follow(failedBefore.member, failedBefore.reply)
+	return true
+}
+
+// failedRecently returns whether a follow request to the member failed within failedMemberPause.
+func (f *Follower) failedRecently(member ident.Address) bool {
+	failedAt, failed := f.lastFollowFailure[member]
+	return failed && f.opts.Clock.Now().Sub(failedAt) < failedMemberPause
+}
+
+// follow makes a member that answered a search the followed one.
+func (f *Follower) follow(member ident.Address, status protocol.FollowReply) {
+	f.targetIndex = status.Index
+	f.setLeader(status.Leader)
+	f.setFollowedMember(member)
+	f.opts.Log.WithFields(logrus.Fields{"event": "dependency_regained", "member": member, "index": f.registry.Index}).
+		Info("following control member")
 }
 
 // setLeader stores the leader's address. A new leader grants no allowances before all VMs have reported to it, so a
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -27,6 +27,7 @@
 	isolated     bool
 	catchingUp   bool
 	unresponsive bool
+	statusDelay  time.Duration // before a reply that carries the status only
 	stateDelay   time.Duration // before a reply that carries state
 	stateReplies int           // replies that were begun with state
 	leader       ident.Address
@@ -46,12 +47,13 @@
 	}
 	m.mu.Lock()
 	reply, unresponsive := protocol.FollowReply{Index: m.index, Isolated: m.isolated, CatchingUp: m.catchingUp, Leader: m.leader}, m.unresponsive
-	stateDelay := m.stateDelay
+	statusDelay, stateDelay := m.statusDelay, m.stateDelay
 	if !request.StatusOnly && request.Index < reply.Index {
 		m.stateReplies++
 	}
 	m.mu.Unlock()
 	if request.StatusOnly {
+		time.Sleep(statusDelay)
 		return reply, nil
 	}
 	time.Sleep(stateDelay)
@@ -157,6 +159,24 @@
 	}
 }
 
+// Guards against a VM that follows the same member again and again because it answers searches first, but nothing else.
+func TestMemberThatAnswersOnlySearchesIsNotFollowedAgain(t *testing.T) {
+	quick, other := &fakeMember{}, &fakeMember{statusDelay: 50 * time.Millisecond}
+	quick.set(5, false, true)
+	other.set(5, false, false)
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: []ident.Address{startMember(t, quick), startMember(t, other)},
+		Log: process.NewLogger(io.Discard, "info")})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	waitForIndex(t, h, 5)
+	quick.set(6, false, false)
+	other.set(5, true, false)
+	waitForIndex(t, h, 6) // it is followed where no other member can be
+}
+
 // Guards against a restarted VM that uses an upstream or a key again which is gone.
 func TestTakesNoRegistryFromMemberThatCatchesUp(t *testing.T) {
 	is := is.New(t)
