fleet/observation: restored facts expire as early as the copies of VMs that did not lose them

Each new leader restored the kept facts for a full hour, though VMs that had not been restarted knew when they expire. With a new leader within each hour a quarantine never ended, and a request that had only had bad luck stayed refused. Cause: the first reply of a new leader confirmed the VMs' own facts, so that VMs did not report them, and a known fact kept its expiry. Now facts say that they were restored; VMs report theirs to such a leader, and the earliest expiry counts.

--- a/fleet/observation/kept_test.go
+++ b/fleet/observation/kept_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/registry"
 )
 
@@ -81,3 +82,33 @@
 	s.records.expire(now.Add(maxLifetime))
 	is.Equal(s.Len(), 0)
 }
+
+// Guards against a fact that lives for ever because each new leader restores it with a full lifetime.
+func TestRestoredFactExpiresWithItsCopies(t *testing.T) {
+	kept := factsAbout(Crash, "x", "u", "v")
+	for name, learn := range map[string]func(*Set){
+		"learned": func(vm *Set) {
+			for _, f := range kept {
+				vm.Add(epoch, f, maxLifetime)
+			}
+		},
+		"restored": func(vm *Set) { vm.Restore(epoch, kept) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var vm Set
+			learn(&vm)
+			kept, now := kept, epoch
+			for term := ident.Term(1); now.Before(epoch.Add(2 * maxLifetime)); term++ {
+				var board Board
+				board.Restore(now, kept)
+				for next := now.Add(16 * time.Minute); now.Before(next); now = now.Add(time.Minute) {
+					exchange(now, &vm, &board, term)
+					kept = board.Durable(now)
+				}
+			}
+			is.Equal(len(kept), 0)
+			is.Equal(vm.Len(), 0)
+		})
+	}
+}
--- a/fleet/observation/observation.go
+++ b/fleet/observation/observation.go
@@ -33,6 +33,8 @@
 	Fact
 	Age  time.Duration `json:"age"`  // since a VM learned it
 	Left time.Duration `json:"left"` // until it expires
+	// Restored says that the sender has the fact from Restore, so that it may expire too late.
+	Restored bool `json:"restored,omitempty"`
 }
 
 // Report is the part of a VM's report that concerns facts.
@@ -61,7 +63,7 @@
 
 // observation returns the record as it is sent at now.
 func (r *record) observation(now time.Time) Observation {
-	return Observation{Fact: r.fact, Age: now.Sub(r.learnedAt).Truncate(time.Millisecond), Left: r.expiresAt.Sub(now).Truncate(time.Millisecond)}
+	return Observation{Fact: r.fact, Age: now.Sub(r.learnedAt).Truncate(time.Millisecond), Left: r.expiresAt.Sub(now).Truncate(time.Millisecond), Restored: r.restored}
 }
 
 // topic is what facts are about.
@@ -82,7 +84,8 @@
 }
 
 // add keeps a fact and returns its record, and whether it is new. If the fact is known, the earlier time at which it was
-// learned counts: an age grows by the transit time of each message, so the later one is less exact.
+// learned counts: an age grows by the transit time of each message, so the later one is less exact. Of a fact that was
+// restored the earlier expiry counts too: a VM that did not lose it knows how old it is.
 func (s *records) add(now time.Time, o Observation) (r *record, added bool) {
 	if o.Kind == "" || len(o.Subject) > maxSubjectBytes || o.Left <= 0 {
 		return nil, false
@@ -93,6 +96,12 @@
 		if learnedAt.Before(r.learnedAt) {
 			r.learnedAt = learnedAt
 		}
+		if expiresAt := now.Add(o.Left); r.restored && expiresAt.Before(r.expiresAt) {
+			r.expiresAt = expiresAt
+			if expiresAt.Before(s.nextExpiry) {
+				s.nextExpiry = expiresAt
+			}
+		}
 		return r, false
 	}
 	if s.byFact == nil {
--- a/fleet/observation/set.go
+++ b/fleet/observation/set.go
@@ -55,7 +55,7 @@
 	for _, o := range reply.Facts {
 		r, isNew := s.records.add(now, o)
 		if r != nil {
-			r.confirmed = true
+			r.confirmed = isNew || !o.Restored // else this VM may know better when it expires
 		}
 		if r != nil && r.leaderOrder == 0 {
 			s.ordered++
