fleet/observation: a claim from before a VM's start stays one if the leader's reply comes before the registry

After a loss of all VMs, a probe whose outcome was lost counts as one that crashed an upstream. A VM reports to the leader while it still fetches the registry. If the reply came first, it had the claim of that probe as a new one, and sent a further probe 5 s later. Cause: only facts that were new with the registry were marked as restored.

TestFactIsRestoredAfterTheLeadersReply and TestProbesBeforeALossCountIfTheLeaderRepliesFirst failed before.

--- a/entry/quarantine/quarantine_test.go
+++ b/entry/quarantine/quarantine_test.go
@@ -255,6 +255,22 @@
 	}
 }
 
+// Guards against a probe soon after a loss of all VMs by a VM that had the leader's reply before the registry.
+func TestProbesBeforeALossCountIfTheLeaderRepliesFirst(t *testing.T) {
+	is := is.New(t)
+	var facts []observation.Fact
+	for _, h := range threeCrashes(claim(0, deadly, "w", 1)) {
+		facts = append(facts, h.fact)
+	}
+	var board observation.Board
+	var set observation.Set
+	board.Restore(epoch, facts)
+	report := set.Report(epoch)
+	set.Apply(epoch, 1, report, board.Exchange(epoch, 1, report))
+	set.Restore(epoch, facts)
+	is.Equal(judge(probeTime, &set, deadly).Decide(epoch.Add(probeTime), "v", 0).Action, Refuse)
+}
+
 // Guards against crashes that seem simultaneous because a VM restored them at once.
 func TestRestoredCrashesAreNotSimultaneous(t *testing.T) {
 	is := is.New(t)
--- a/fleet/observation/kept.go
+++ b/fleet/observation/kept.go
@@ -96,7 +96,7 @@
 	return s.records.restore(now, facts)
 }
 
-// Restored reports whether this VM has a fact from Restore, and from no VM before.
+// Restored reports whether this VM has a fact from Restore, so that it may be from before the VM's start.
 func (s *Set) Restored(f Fact) bool {
 	r := s.records.byFact[f]
 	return r != nil && r.restored
@@ -106,8 +106,11 @@
 	for i, f := range facts {
 		// Different ages preserve the order of the log.
 		o := Observation{Fact: f, Age: restoredAge + time.Duration(len(facts)-i)*time.Millisecond, Left: maxLifetime}
-		if r, isNew := s.add(now, o); isNew {
-			r.restored = true
+		r, isNew := s.add(now, o)
+		if r != nil {
+			r.restored = true // also if the leader's reply came before the registry
+		}
+		if isNew {
 			added = append(added, o)
 		}
 	}
--- a/fleet/observation/kept_test.go
+++ b/fleet/observation/kept_test.go
@@ -112,3 +112,15 @@
 		})
 	}
 }
+
+// Guards against a VM that takes a fact from before its start for a new one because the leader's reply came before the registry.
+func TestFactIsRestoredAfterTheLeadersReply(t *testing.T) {
+	is := is.New(t)
+	var vm Set
+	var board Board
+	claim := Fact{Kind: Claim, Subject: "x", VM: "a", Round: 1}
+	board.Restore(epoch, []Fact{claim})
+	exchange(epoch, &vm, &board, 1)
+	is.Equal(len(vm.Restore(epoch, []Fact{claim})), 0)
+	is.True(vm.Restored(claim))
+}
--- a/fleet/observation/observation.go
+++ b/fleet/observation/observation.go
@@ -57,7 +57,7 @@
 	learnedAt, expiresAt time.Time
 	serial               uint64 // in the order of receipt, from 1
 	confirmed            bool   // the leader of the present term has it
-	restored             bool   // this process learned it from what outlived a loss of VMs
+	restored             bool   // it is among those that outlived a loss of VMs
 	leaderOrder          uint64 // position among the facts that the leader of the present term sent, from 1; 0 if it has not
 }
 
