control/coordinator: a report does not fail while its claims cannot be written to the log

While the disks of a majority of members stalled, the leader kept its lease and answered reports, except for those whose reply had a claim that was not in the log yet, that is all VMs' as soon as one request was quarantined: after 900 ms they failed, so that VMs lost allowances, and the leader took them for silent. Each failed report also added one more copy of the same command to the log.

Reports at the same time share one command.

TestReportWithClaimIsAnsweredWhileDisksStall failed before: the first report had no reply in 900 ms.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"cuminfall.example/control/affinity"
 	"cuminfall.example/control/ratelimit"
@@ -60,6 +61,7 @@
 	client   protocol.Client
 	floor    registryFloor
 	drains   drainQueue
+	keeping  singleflight.Group
 	stopping chan struct{} // closed when followers must use another member
 
 	mu             sync.Mutex
@@ -402,7 +404,7 @@
 		if term, _, leads := c.opts.Replica.Leadership(); leads {
 			c.beginTerm(term)
 			c.expireSilent(ctx, term)
-			c.keepFacts(ctx, term)
+			_ = c.keepFacts(ctx, term) // it is logged, and tried again with the next tick
 		} else {
 			c.forwardLastSeen(ctx)
 		}
