entry/proxy: a crash before the last bytes of an upload are sent counts against the upload

An upload during which an upstream's process ended was never suspect if some of its body had not been sent yet: such an upload went to one upstream after another, at each repetition. Cause: its fingerprint needs the whole body, so the crash was not recorded. Now the rest of the body is read if the upstream refuses new connections, which a further attempt needs as well. A caller of a request that may not be repeated gets its 502 after it has sent its body, or at its deadline.

--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -235,10 +235,7 @@
 	if _, ok := c.fingerprint(); ok {
 		return nil
 	}
-	body := keptReader{c.upload.newReader()}
-	endReading := context.AfterFunc(c.proxy.stop.ended, func() { _ = c.upload.controller.SetReadDeadline(time.Unix(1, 0)) })
-	_, err := io.Copy(io.Discard, body)
-	endReading()
+	err := c.receiveBody(keptReader{c.upload.newReader()})
 	switch _, complete := c.fingerprint(); {
 	case err == nil && complete:
 		return nil
@@ -252,6 +249,14 @@
 	return &refusal{status: http.StatusBadRequest, reason: "request body ended early"}
 }
 
+// receiveBody reads a streamed body to its end, or until the final answers of a graceful shutdown.
+func (c *call) receiveBody(body io.Reader) error {
+	endReading := context.AfterFunc(c.proxy.stop.ended, func() { _ = c.upload.controller.SetReadDeadline(time.Unix(1, 0)) })
+	defer endReading()
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
 // refuseSuspect returns the refusal of a request that is quarantined or whose wait was too long.
 func (c *call) refuseSuspect(now time.Time, f quarantine.Fingerprint, suspectCase *quarantine.Case, retryAfter time.Duration) *refusal {
 	c.proxy.metrics.quarantineRefused.Inc(1)
@@ -318,16 +323,24 @@
 }
 
 // investigate finds out whether the upstream's process ended while it had the request, and returns true if so. The caller
-// waits for that only if the request is known from another crash; otherwise it returns false at once.
+// waits for that only if the request is known from another crash, or if its body is incomplete; otherwise it returns
+// false at once.
 func (c *call) investigate(choice balancer.Choice, failure *forward.Failure) bool {
-	if failure == nil || failure.Reason != forward.Broken || !failure.Sent || failure.Incomplete || c.proxy.isLeaving(choice.Upstream) {
-		return false
-	}
-	f, ok := c.fingerprint()
-	if !ok {
+	if failure == nil || failure.Reason != forward.Broken || !failure.Sent || c.proxy.isLeaving(choice.Upstream) {
 		return false
 	}
 	p, fields := c.proxy, c.logFields("crash")
+	f, complete := c.fingerprint()
+	if !complete {
+		if !p.hasCrashed(choice.Upstream) {
+			return false
+		}
+		if err := c.receiveBody(c.upload.newReader()); err != nil {
+			return false
+		}
+		f, complete = c.fingerprint()
+		return complete && p.recordCrash(choice.Upstream, f, fields)
+	}
 	p.mu.Lock()
 	known := p.suspects.table.Case(f) != nil
 	p.mu.Unlock()
