control/coordinator: VMs learn of crashes while claims cannot be written to the log

While the disks of a majority of members stalled and a claim waited for the log, replies to reports had no facts at all, so that VMs went on sending a request that had crashed three upstreams at others. Only the claims are left out now; the VM gets all facts again with a later reply.

TestReportWithClaimIsAnsweredWhileDisksStall asks for the three crashes as well; it failed before (no facts in the reply).

--- a/control/coordinator/keep.go
+++ b/control/coordinator/keep.go
@@ -63,8 +63,8 @@
 }
 
 // exchangeFacts adds the facts of a VM's report and returns those which the VM lacks. Claims are in the log before any VM
-// learns that one of them won, so that a later leader does not grant another one. While that is not possible, it returns
-// nil, and the VM gets the facts with the reply to a later report.
+// learns that one of them won, so that a later leader does not grant another one. While that is not possible, they are
+// left out, and the VM gets all facts again with the reply to a later report.
 func (c *Coordinator) exchangeFacts(ctx context.Context, term ident.Term, report *observation.Report) (*observation.Reply, error) {
 	c.mu.Lock()
 	if c.term != term {
@@ -73,7 +73,8 @@
 	}
 	reply := c.observations.Exchange(c.opts.Clock.Now(), term, report)
 	c.mu.Unlock()
-	if reply == nil || !slices.ContainsFunc(reply.Facts, func(o observation.Observation) bool { return o.Kind == observation.Claim }) {
+	isClaim := func(o observation.Observation) bool { return o.Kind == observation.Claim }
+	if reply == nil || !slices.ContainsFunc(reply.Facts, isClaim) {
 		return reply, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -84,7 +85,7 @@
 			return reply, nil
 		}
 		if err != nil || c.keepFacts(ctx, term) != nil || ctx.Err() != nil {
-			return nil, nil
+			return &observation.Reply{Facts: slices.DeleteFunc(reply.Facts, isClaim)}, nil
 		}
 	}
 }
--- a/control/coordinator/stall_test.go
+++ b/control/coordinator/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 	return f.File.Sync()
 }
 
-// Guards against VMs whose reports fail, and whose leases end, because a claim waits for stalled disks.
+// Guards against VMs whose reports fail, and which learn of no crash, because a claim waits for stalled disks.
 func TestReportWithClaimIsAnsweredWhileDisksStall(t *testing.T) {
 	is := is.New(t)
 	members := startGroup(t)[:3]
@@ -56,7 +57,8 @@
 		m.start()
 	}
 	var facts observation.Set
-	eventually(t, "the VM is registered", func() bool { return reportFacts(members[1], "a", &facts) })
+	addAll(&facts, crashes("deadly", "u", "v", "w"))
+	eventually(t, "the leader has the crashes", func() bool { return reportFacts(members[1], "a", &facts) })
 	leader, _ := currentLeader(t, members)
 	for _, d := range disks {
 		d.stall.Lock()
@@ -68,8 +70,9 @@
 	})
 	defer resume()
 	claim := observation.Fact{Kind: observation.Claim, Subject: "deadly", VM: "a", Round: 1}
-	facts.Add(clock.BootTime{}.Now(), claim, time.Hour)
+	addAll(&facts, []observation.Fact{claim})
 	q := protocol.Report{VM: registry.VM{Name: "a", Domain: "d", Up: true}, Full: true, Observed: facts.Report(clock.BootTime{}.Now())}
+	q.Observed.Applied = 0 // as a VM that lacks all facts
 	exchange := func() (reply protocol.ReportReply, err error) {
 		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 		defer cancel()
@@ -80,11 +83,14 @@
 		reply, err := exchange()
 		is.NoErr(err)
 		is.True(reply.Lease > 0)
-		is.True(reply.Observed == nil) // the claim is not granted
+		is.Equal(len(reply.Observed.Facts), 3)
+		for _, o := range reply.Observed.Facts {
+			is.Equal(o.Kind, observation.Crash) // the claim is not granted
+		}
 	}
 	resume()
 	eventually(t, "the claim is returned", func() bool {
 		reply, err := exchange()
-		return err == nil && reply.Observed != nil && len(reply.Observed.Facts) == 1
+		return err == nil && slices.ContainsFunc(reply.Observed.Facts, func(o observation.Observation) bool { return o.Fact == claim })
 	})
 }
