entry/follower: reports arrive over a saturated link

Uploads queue seconds of packets on the links of the region's VMs. A report was given up after 900 ms, which closed its connection, and a new connection had to open within 500 ms, so none arrived any more.

The follower now sends the next report after 900 ms without giving up the last one, up to six at a time for 6 s each, and opens a connection for as long. A late reply extends the lease of the allowances and changes nothing else: the leader counts the present allowances until a smaller one is confirmed, and its changes assume that a later report was not sent yet.

TestReportsArriveOverSaturatedLink failed before: no report arrived in 6 s.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -38,8 +38,14 @@
 	minReportInterval = 60 * time.Millisecond
 	// failedMemberPause is how long a member that did not accept a report is skipped if another member can be tried.
 	failedMemberPause = 3 * time.Second
-	// reportTimeout bounds one report, including the time in which a member forwards it to the leader.
+	// reportTimeout is the time after which the next report is sent, including the time in which a member forwards a
+	// report to the leader.
 	reportTimeout = 900 * time.Millisecond
+	// lateReportTimeout bounds a report. On a link with seconds of packets queued, only a report that is not given up
+	// arrives at all: a cancelled one closes its connection, and opening the next one takes as long.
+	lateReportTimeout = 6 * time.Second
+	// maxLateReports bounds the reports that were not given up after reportTimeout.
+	maxLateReports = 6
 )
 
 // Handler uses the registry and exchanges reports with the leader through a Follower.
@@ -50,6 +56,9 @@
 	Report() protocol.Report
 	// HandleReply applies the leader's reply to a report. SentAt is the time just before Report was called for it.
 	HandleReply(sentAt time.Time, report protocol.Report, reply protocol.ReportReply)
+	// HandleLateReply renews what the reply to a report renews. Later reports were sent meanwhile, so the changes in the
+	// reply must not be applied.
+	HandleLateReply(sentAt time.Time, report protocol.Report, reply protocol.ReportReply)
 }
 
 // Options configures a Follower.
@@ -66,6 +75,7 @@
 	opts          Options
 	client        protocol.Client
 	reportTrigger chan struct{}
+	lateReports   chan struct{} // holds an element for each report that has not ended, except the newest
 
 	mu          sync.Mutex
 	seeds       []ident.Address
@@ -81,7 +91,8 @@
 
 // New returns a follower with an empty registry; Run starts it.
 func New(o Options) *Follower {
-	return &Follower{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, seeds: o.Seeds, registry: registry.New(), reportTrigger: make(chan struct{}, 1), lastFailure: map[ident.Address]time.Time{}}
+	return &Follower{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr, DialTimeout: lateReportTimeout}, seeds: o.Seeds, registry: registry.New(),
+		reportTrigger: make(chan struct{}, 1), lateReports: make(chan struct{}, maxLateReports), lastFailure: map[ident.Address]time.Time{}}
 }
 
 // TriggerReport makes Run send the next report without waiting for the regular interval.
@@ -336,11 +347,9 @@
 	if target == "" {
 		return false, fault.New(fault.Unreachable, "report", "", "no control member is known")
 	}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
 	report := f.opts.Handler.Report()
-	var reply protocol.ReportReply
-	if err = f.client.Call(ctx, target, protocol.ReportPath, report, &reply); err != nil {
+	reply, err := f.exchangeReport(ctx, sentAt, target, report)
+	if err != nil {
 		f.mu.Lock()
 		f.lastFailure[target] = f.opts.Clock.Now()
 		f.mu.Unlock()
@@ -349,3 +358,44 @@
 	f.opts.Handler.HandleReply(sentAt, report, reply)
 	return reply.FullReportRequired, nil
 }
+
+// reportResult is the outcome of one report.
+type reportResult struct {
+	reply protocol.ReportReply
+	err   error
+}
+
+// exchangeReport sends a report and waits for the reply until reportTimeout. After that the exchange goes on in the
+// background, because the report still shows the leader that this VM is up.
+func (f *Follower) exchangeReport(ctx context.Context, sentAt time.Time, target ident.Address, report protocol.Report) (protocol.ReportReply, error) {
+	exchangeCtx, cancel := context.WithTimeout(ctx, lateReportTimeout)
+	results := make(chan reportResult, 1)
+	go func() {
+		defer cancel()
+		var r reportResult
+		r.err = f.client.Call(exchangeCtx, target, protocol.ReportPath, report, &r.reply)
+		results <- r
+	}()
+	select {
+	case r := <-results:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return protocol.ReportReply{}, fault.Wrap(ctx.Err(), fault.Unreachable, "report", string(target))
+	case <-f.opts.Clock.After(reportTimeout):
+	}
+	select {
+	case f.lateReports <- struct{}{}:
+		go f.awaitLateReply(sentAt, report, results)
+	default:
+		cancel()
+	}
+	return protocol.ReportReply{}, fault.New(fault.Unreachable, "report", string(target), "no reply within %s", reportTimeout)
+}
+
+func (f *Follower) awaitLateReply(sentAt time.Time, report protocol.Report, results <-chan reportResult) {
+	r := <-results
+	<-f.lateReports
+	if r.err == nil {
+		f.opts.Handler.HandleLateReply(sentAt, report, r.reply)
+	}
+}
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,6 +32,7 @@
 	stateReplies int           // replies that were begun with state
 	leader       ident.Address
 	unreadable   ident.Index // of a command that cannot be decoded
+	reportTimes  []time.Time // when reports arrived
 }
 
 func (m *fakeMember) set(index ident.Index, isolated, unresponsive bool) {
@@ -79,6 +81,7 @@
 	mux.Handle(protocol.ReportPath, protocol.NewHandler(func(ctx context.Context, _ []byte) (any, error) {
 		m.mu.Lock()
 		unresponsive := m.unresponsive
+		m.reportTimes = append(m.reportTimes, time.Now())
 		m.mu.Unlock()
 		if unresponsive {
 			<-ctx.Done()
@@ -95,6 +98,7 @@
 	mu              sync.Mutex
 	indexes         []ident.Index
 	answeredReports int
+	lateReplies     int
 	firstAnswerAt   time.Time
 }
 
@@ -112,6 +116,11 @@
 		h.firstAnswerAt = time.Now()
 	}
 }
+func (h *recordingHandler) HandleLateReply(time.Time, protocol.Report, protocol.ReportReply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lateReplies++
+}
 
 func (h *recordingHandler) lastIndex() ident.Index {
 	h.mu.Lock()
@@ -200,6 +209,86 @@
 	is.True(h.answeredReports > 0)
 }
 
+// startQueuedLink returns the address of a relay to a member with a queue of packets in each direction. A connection is
+// open once its first packet and the answer have passed the queues.
+func startQueuedLink(t *testing.T, member ident.Address, delay time.Duration) ident.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go relayQueued(near, member, delay)
+		}
+	}()
+	return ident.Address(l.Addr().String())
+}
+
+// relayQueued relays one connection of a queued link. Packets of a connection that is closed meanwhile are lost.
+func relayQueued(near net.Conn, member ident.Address, delay time.Duration) {
+	defer func() { _ = near.Close() }()
+	far, err := net.Dial("tcp", string(member))
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	closed := make(chan struct{}, 2)
+	openedAt := time.Now().Add(2 * delay)
+	for _, pair := range [][2]net.Conn{{near, far}, {far, near}} {
+		go func() {
+			defer func() { closed <- struct{}{} }()
+			for {
+				data := make([]byte, 64<<10)
+				n, err := pair[0].Read(data)
+				if err != nil {
+					return
+				}
+				passAt := time.Now()
+				if passAt.Before(openedAt) {
+					passAt = openedAt
+				}
+				time.AfterFunc(time.Until(passAt.Add(delay)), func() { _, _ = pair[1].Write(data[:n]) })
+			}
+		}()
+	}
+	<-closed
+}
+
+// Guards against VMs that count as down because their links are saturated by uploads. When all VMs of a region did, its
+// callers moved to other regions at once.
+func TestReportsArriveOverSaturatedLink(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	const delay = 700 * time.Millisecond
+	m := &fakeMember{}
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Log: process.NewLogger(io.Discard, "info")})
+	f.leader = startQueuedLink(t, startMember(t, m), delay)
+	f.followed, f.members = f.leader, []ident.Address{f.leader}
+	ctx, cancel := context.WithTimeout(context.Background(), lateReportTimeout)
+	defer cancel()
+	f.runReports(ctx)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.Logf("reports arrived %v after the start", m.reportTimes)
+	const vmSilence = 2500 * time.Millisecond // after which the leader considers the VM as down
+	is.True(len(m.reportTimes) > 3)
+	for i, at := range m.reportTimes {
+		if i > 0 {
+			is.True(at.Sub(m.reportTimes[i-1]) < vmSilence)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	is.True(h.lateReplies > 0)
+}
+
 // Guards against VMs that never recover after a restart of the whole fleet. The full state takes longer than
 // probeTimeout over a 2 Mbit/s link, and the state of five members at once takes five times as long.
 func TestCatchesUpOverSlowLink(t *testing.T) {
--- a/entry/proxy/ratelimit.go
+++ b/entry/proxy/ratelimit.go
@@ -148,6 +148,19 @@
 	p.applyReply(sentAt, report, reply)
 }
 
+// HandleLateReply implements follower.Handler: it extends the lease of the allowances. The leader counts the present ones
+// until a later report confirms smaller ones.
+func (p *Proxy) HandleLateReply(sentAt time.Time, report protocol.Report, reply protocol.ReportReply) {
+	now := p.opts.LeaseClock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.linkDelay.AddSample(now, now.Sub(sentAt))
+	if report.Sequence < p.repliedSequence || reply.Term != p.appliedTerm || reply.FullReportRequired {
+		return
+	}
+	p.rateLimiter.ExtendLease(now, sentAt.Add(reply.Lease))
+}
+
 // Report implements follower.Handler: it returns the next report to the leader.
 func (p *Proxy) Report() protocol.Report {
 	now := p.opts.LeaseClock.Now()
--- a/entry/proxy/ratelimit_test.go
+++ b/entry/proxy/ratelimit_test.go
@@ -11,6 +11,7 @@
 
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/clock"
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/protocol"
 )
 
@@ -53,6 +54,33 @@
 	is.True(time.Since(startedAt) < minRateWait)
 }
 
+// Guards against a late reply that extends the lease after a later leader was told of the allowances, or that applies
+// changes which the leader has replaced since.
+func TestLateReplyOnlyExtendsTheLease(t *testing.T) {
+	is := is.New(t)
+	fx := newFixture(t, 5, answerOK)
+	sentAt := clock.BootTime{}.Now()
+	lease := func() time.Duration {
+		fx.mu.Lock()
+		defer fx.mu.Unlock()
+		allowance, _, left := fx.rateLimiter.State(sentAt, "w")
+		is.Equal(allowance, 3)
+		return left
+	}
+	reply := func(term ident.Term, allowance int, lease time.Duration) protocol.ReportReply {
+		return protocol.ReportReply{Term: term, Allowances: protocol.Allowances{"w": allowance}, Lease: lease}
+	}
+	overtaken := fx.Report()
+	fx.HandleReply(sentAt, fx.Report(), reply(2, 3, time.Minute))
+	late := fx.Report()
+	fx.HandleLateReply(sentAt, late, reply(2, 5, 2*time.Minute))
+	is.Equal(lease(), 2*time.Minute)
+	fx.HandleLateReply(sentAt, overtaken, reply(2, 5, 3*time.Minute))
+	fx.HandleLateReply(sentAt, late, reply(1, 5, 3*time.Minute))
+	fx.HandleLateReply(sentAt, late, protocol.ReportReply{Term: 2, FullReportRequired: true, Lease: 3 * time.Minute})
+	is.Equal(lease(), 2*time.Minute)
+}
+
 // Guards against a wait without limit while the leader is silent.
 func TestWaitForTheLeadersReplyIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/entry/throttle/ratelimiter.go
+++ b/entry/throttle/ratelimiter.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// ExtendLease extends the lease of the present allowances. It does nothing if the lease has expired or a full report is
+// due, because the leader may count smaller allowances then.
+func (r *RateLimiter) ExtendLease(now, leaseExpiry time.Time) {
+	r.expireLease(now)
+	if !r.fullReportRequired && !r.leaseExpiry.IsZero() && leaseExpiry.After(r.leaseExpiry) {
+		r.leaseExpiry = leaseExpiry
+	}
+}
+
 // Take admits one request of a workspace if the allowance permits it. Otherwise it returns how long to wait until the
 // allowance permits one, or possible as false if it will not without a change of the allowance.
 func (r *RateLimiter) Take(now time.Time, name ident.Workspace) (wait time.Duration, possible, ok bool) {
--- a/entry/throttle/throttle_test.go
+++ b/entry/throttle/throttle_test.go
@@ -151,6 +151,31 @@
 	is.Equal(rates["w"], protocol.RateUsage{Allowance: 1, Used: 1})
 }
 
+// Guards against a late reply that brings back allowances which the leader no longer counts.
+func TestLateReplyExtendsOnlyLiveLease(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := RateLimiter{Bounds: bounds}
+	r.SetWorkspaces(map[ident.Workspace]catalog.Workspace{"w": {Name: "w", Rate: 9, Burst: 9}})
+	lease := func() time.Duration { _, _, left := r.State(now, "w"); return left }
+	r.ExtendLease(now, now.Add(time.Second))
+	is.Equal(lease(), time.Duration(0)) // nothing was granted yet
+	r.SetAllowances(protocol.Allowances{"w": 3}, now.Add(time.Second))
+	r.ExtendLease(now, now.Add(4*time.Second))
+	is.Equal(lease(), 4*time.Second)
+	r.ExtendLease(now, now.Add(2*time.Second))
+	is.Equal(lease(), 4*time.Second)
+	r.RequireFullReport()
+	r.ExtendLease(now, now.Add(6*time.Second))
+	is.Equal(lease(), 4*time.Second) // another leader may get the full report
+	r.ReportDelivered(nil, true)
+	now = now.Add(5 * time.Second)
+	r.ExtendLease(now, now.Add(time.Second))
+	is.Equal(lease(), time.Duration(0))
+	allowance, _, _ := r.State(now, "w")
+	is.Equal(allowance, 0)
+}
+
 // Guards against reports that grow with the number of workspaces: the links of small VMs are too slow for these.
 func TestReportsContainOnlyChanges(t *testing.T) {
 	is := is.New(t)
--- a/fleet/protocol/client.go
+++ b/fleet/protocol/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -20,8 +21,8 @@
 )
 
 const (
-	// dialTimeout limits opening a connection; the longest round trip between regions takes 110 ms.
-	dialTimeout = 500 * time.Millisecond
+	// defaultDialTimeout limits opening a connection; the longest round trip between regions takes 110 ms.
+	defaultDialTimeout = 500 * time.Millisecond
 	// maxIdleConnsPerPeer is enough for the concurrent requests of one VM. With fewer, busy VMs open a connection for
 	// most requests. If a full queue then drops the packet that opens a connection, it is retransmitted only after
 	// seconds.
@@ -35,7 +36,8 @@
 
 // Client posts JSON messages to control members; its zero value is ready for use.
 type Client struct {
-	LocalAddr net.Addr // local address of connections; nil means that the operating system selects it
+	LocalAddr   net.Addr      // local address of connections; nil means that the operating system selects it
+	DialTimeout time.Duration // timeout for opening a connection; 500 ms by default
 
 	mu      sync.Mutex
 	peers   map[ident.Address]*peer
@@ -59,7 +61,7 @@
 		c.replies.Max = process.MaxReplyBytes
 	}
 	p := &peer{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: c.LocalAddr}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: cmp.Or(c.DialTimeout, defaultDialTimeout), LocalAddr: c.LocalAddr}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: process.MaxReplyHeaderBytes,
 	}}
 	c.peers[address] = p
