entry/proxy: bodies in chunks share the memory of all bodies

A body in chunks of more than 16 MiB got 413, also where the configuration allows 64 MiB; callers do not repeat a 413. Cause: bodies in chunks had a memory of their own, whose size was taken for their limit, though they need no more than the others since they are kept in blocks.

Change: one memory of 72 MiB for all bodies, and the limit of the configuration for both kinds. TestLongestChunkedBody asks for 200 at 64 MiB and 413 one byte beyond it; before it asked for these at 16 MiB, which is the fault. TestLongestUploadsFitTheSmallestVM: at most 74 MB for both kinds, as before; of two bodies in chunks of 64 MiB at a time both were refused with 503. All tests of bodies pass with -race.

--- a/entry/proxy/bodymemory.go
+++ b/entry/proxy/bodymemory.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// bodyMemory is the memory, in bytes, of all kept bodies with a Content-Length together. It holds the largest body.
+	// bodyMemory is the memory, in bytes, of all kept bodies together. It holds the largest body.
 	bodyMemory = defaultMaxBody + 8<<20
-	// chunkedBodyMemory is the memory, in bytes, of all kept bodies in chunks together, and thereby the longest one.
-	chunkedBodyMemory = 16 << 20
 	// bodyBlockSize is the size of a body's blocks in bytes.
 	bodyBlockSize = 64 << 10
 	// bodyRetryAfter is sent while there is no memory for a body that must be kept.
@@ -79,7 +77,7 @@
 // registerBodyGauge registers the memory of kept bodies.
 func (p *Proxy) registerBodyGauge() {
 	metrics.NewRegisteredFunctionalGauge("front.bodies.bytes", p.opts.Metrics, func() int64 {
-		return bodyMemory - p.bodyMemory.free.Load() + chunkedBodyMemory - p.chunkedBodyMemory.free.Load()
+		return bodyMemory - p.bodyMemory.free.Load()
 	})
 }
 
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -84,7 +84,7 @@
 	stop    stop
 	metrics requestMetrics
 
-	responseMemory, bodyMemory, chunkedBodyMemory bufferBudget
+	responseMemory, bodyMemory bufferBudget
 
 	mu                      sync.Mutex
 	table                   *catalog.Table
@@ -124,7 +124,6 @@
 		p.responseMemory.free.Store(defaultResponseMemory)
 	}
 	p.bodyMemory.give(bodyMemory)
-	p.chunkedBodyMemory.give(chunkedBodyMemory)
 	p.suspects = newSuspects()
 	p.rateLimiter.RequireFullReport()
 	p.startedAt = o.LeaseClock.Now()
--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -181,9 +181,6 @@
 	if limits != nil && limits.MaxBodyBytes > 0 {
 		maxSize = min(maxSize, int64(limits.MaxBodyBytes))
 	}
-	if c.r.ContentLength < 0 {
-		maxSize = min(maxSize, chunkedBodyMemory)
-	}
 	if c.r.ContentLength > maxSize {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "request body is larger than the limit"}
 	}
@@ -198,7 +195,7 @@
 	source := http.MaxBytesReader(c.w, c.r.Body, maxSize)
 	body, err := io.ReadAll(io.LimitReader(source, minStreamedBody))
 	if err == nil && len(body) == minStreamedBody {
-		c.upload = &upload{source: source, controller: controller, deadline: c.deadline, kept: bodyBuffer{budget: &p.chunkedBodyMemory}}
+		c.upload = &upload{source: source, controller: controller, deadline: c.deadline, kept: bodyBuffer{budget: &p.bodyMemory}}
 		err = c.upload.receive(body)
 	}
 	readOn()
