review: a planned stop calls uploads not run that their endpoints run

Breaks REFUSED: at the end of a graceful shutdown, entry/proxy answers 503 to an upload whose body is not complete, although its endpoint has got the beginning and is at work on it.

--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -9,6 +9,7 @@
 // cases are the plays by name. Each ends the process by itself.
 var cases = map[string]func(rec *recorder, trouble bool){
 	"earlyanswer": playEarlyAnswer,
+	"uploadstop":  playUploadStop,
 }
 
 func main() {
