--- a/review/tools/earlyanswer.go
+++ b/review/tools/earlyanswer.go
@@ -18,7 +18,8 @@
 	photoPause   = 20 * time.Millisecond
 	photoWork    = 100 * time.Millisecond
 	photoFirst   = 1000    // bytes of the body with which the endpoint begins
-	photoAnswer  = 300_000 // bytes of the endpoint's answer
+	longAnswer   = 300_000 // bytes of an answer that is streamed
+	shortAnswer  = 400     // bytes of an answer on the users' sheets
 	photoClients = 8
 	photoRounds  = 3
 	photoLimit   = 5 * time.Second
@@ -43,9 +44,24 @@
 	return -1
 }
 
-// playEarlyAnswer sends uploads to endpoints that answer before they have read the whole body, keep the connection and read
-// on. Without the trouble, they read the whole body before they answer.
-func playEarlyAnswer(rec *recorder, trouble bool) {
+// playLongEarlyAnswer checks what endpoints get of a body that they read on after a long answer.
+func playLongEarlyAnswer(rec *recorder, trouble bool) {
+	a, whole := playEarlyAnswers(rec, trouble, longAnswer)
+	rec.finish(a.other > 0, "UNASKED: of %d uploads, the endpoint got other bytes where the rest of the body was due in %d, the whole body in %d, a part in %d; %d clients got the whole answer",
+		photoClients*photoRounds, a.other, a.complete, a.cut, whole)
+}
+
+// playShortEarlyAnswer checks what endpoints get of a body that they read on after a short answer.
+func playShortEarlyAnswer(rec *recorder, trouble bool) {
+	a, whole := playEarlyAnswers(rec, trouble, shortAnswer)
+	rec.finish(a.cut+a.other > 0 && whole > 0, "UNASKED: of %d uploads, the endpoint got the whole body in %d, a part in %d, other bytes in %d; %d clients got the whole answer, a 200",
+		photoClients*photoRounds, a.complete, a.cut, a.other, whole)
+}
+
+// playEarlyAnswers sends uploads to endpoints that answer before they have read the whole body, keep the connection and read
+// on. Without the trouble, they read the whole body before they answer. It returns what the endpoints got, and how many
+// clients got the whole answer.
+func playEarlyAnswers(rec *recorder, trouble bool, answerSize int) (*photoArrivals, int) {
 	f := newFleet(rec, 3, 2)
 	rec.end = f.close
 	for _, m := range f.all() {
@@ -58,7 +74,7 @@
 	if status := o.replace(1, config, 15*time.Second); status != http.StatusOK {
 		rec.cannotRun("the first config was not accepted: %d", status)
 	}
-	arrivals := &photoArrivals{rec: rec, early: trouble}
+	arrivals := &photoArrivals{rec: rec, early: trouble, answerSize: answerSize}
 	for i := range 4 {
 		e := &endpoint{f: f, id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), service: "snapshots", zone: zones[i%2], slots: 3, runs: &runs{}, serve: arrivals.serve}
 		e.listen(60 + i)
@@ -71,7 +87,7 @@
 		var clients sync.WaitGroup
 		for i := range photoClients {
 			clients.Go(func() {
-				if sendPhoto(rec, f.edges[i%2], fmt.Sprintf("9c41d07b%04x%04x", round, i)) {
+				if sendPhoto(rec, f.edges[i%2], fmt.Sprintf("9c41d07b%04x%04x", round, i), answerSize) {
 					mu.Lock()
 					whole++
 					mu.Unlock()
@@ -87,14 +103,14 @@
 	if !trouble && (whole < count || arrivals.complete < count) {
 		rec.cannotRun("%d of %d uploads were answered and %d arrived whole without the trouble", whole, count, arrivals.complete)
 	}
-	rec.finish(arrivals.other > 0, "UNASKED: of %d uploads, the endpoint got other bytes where the rest of the body was due in %d, the whole body in %d, a part in %d; %d clients got the whole answer",
-		count, arrivals.other, arrivals.complete, arrivals.cut, whole)
+	return arrivals, whole
 }
 
 // photoArrivals compares the bodies that endpoints get with those that were sent.
 type photoArrivals struct {
-	rec   *recorder
-	early bool
+	rec        *recorder
+	early      bool
+	answerSize int
 
 	mu                   sync.Mutex
 	other, complete, cut int
@@ -109,7 +125,7 @@
 	a.rec.note("endpoint %s begins to work on request %s", e.id, id)
 	e.runs.begin(id)
 	answered := make(chan error, 1)
-	respond := func() { answered <- answer(c, id, bytes.Repeat([]byte("a"), photoAnswer)) }
+	respond := func() { answered <- answer(c, id, bytes.Repeat([]byte("a"), a.answerSize)) }
 	if a.early {
 		time.Sleep(photoWork)
 		go respond()
@@ -146,7 +162,7 @@
 }
 
 // sendPhoto sends one upload over a new connection, and reports whether the whole answer came.
-func sendPhoto(rec *recorder, edge *machine, id string) bool {
+func sendPhoto(rec *recorder, edge *machine, id string, answerSize int) bool {
 	c, err := net.DialTimeout("tcp", net.JoinHostPort(edge.ip, fmt.Sprint(frontendPort)), time.Second)
 	if err != nil {
 		rec.note("client of %s: %v", id, err)
@@ -177,5 +193,5 @@
 	body, err := io.ReadAll(response.Body)
 	rec.note("client of %s gets %d, stamp %q, %d of %d bytes: %v", id, response.StatusCode, response.Header.Get("Server-Stamp"), len(body), response.ContentLength, err)
 	<-sent
-	return err == nil && response.StatusCode == http.StatusOK && len(body) == photoAnswer
+	return err == nil && response.StatusCode == http.StatusOK && len(body) == answerSize
 }
--- a/review/tools/main.go
+++ b/review/tools/main.go
@@ -8,7 +8,9 @@
 
 // cases are the plays by name. Each ends the process by itself.
 var cases = map[string]func(rec *recorder, trouble bool){
-	"earlyanswer": playEarlyAnswer,
+	"logsize":     playLogSize,
+	"longanswer":  playLongEarlyAnswer,
+	"shortanswer": playShortEarlyAnswer,
 	"uploadstop":  playUploadStop,
 }
 
