control: a member's log is bounded in bytes, in memory, on disk and at its start; full disks are waited out

A start read the whole log into memory.

Data of synced entries beyond a sixteenth of the memory is evicted and read from the log when a member or the state machine needs it. The leader leaves out of a change what it has, and answers a repeated or outdated change without another entry.

Second fault, in the same code: a failed write ended the process. The write is now repeated until it succeeds: nothing that waits for it is acknowledged, the member says so once and when it is over, and takes part in all else.

--- a/control/consensus/effect.go
+++ b/control/consensus/effect.go
@@ -20,7 +20,7 @@
 	Entries  []*wire.Entry   // replace the log from the index of the first one on
 }
 
-// SendRequest sends a request to a member. The caller passes exactly one reply event for it back to the
+// SendRequest sends a request to a member. The entries of an AppendRequest may be evicted; the caller loads them. The caller passes exactly one reply event for it back to the
 // Node, except for a HandoverRequest.
 type SendRequest struct {
 	To      ident.Member
@@ -34,10 +34,12 @@
 	Message proto.Message
 }
 
-// Apply passes committed entries to the state machine, in order and without gaps.
+// Apply passes committed entries to the state machine, in order and without gaps. They may be evicted. The caller reports
+// their application with Applied.
 type Apply struct{ Entries []*wire.Entry }
 
-// Restore replaces the state of the state machine with that of an installed snapshot.
+// Restore replaces the state of the state machine with that of an installed snapshot. Entries of an Apply before it
+// that are not applied yet are no longer needed, nor on the disk.
 type Restore struct{ Snapshot *wire.Snapshot }
 
 // ProposalAccepted reports that a proposal was appended at Index in Term. The proposal succeeded if the
--- a/control/consensus/event.go
+++ b/control/consensus/event.go
@@ -49,6 +49,12 @@
 // DiskFailed reports that a write or sync failed. From then on the node acknowledges nothing.
 type DiskFailed struct{ At time.Duration }
 
+// Applied reports that the state machine has applied the entries up to and including Index, or was restored to it.
+type Applied struct {
+	At    time.Duration
+	Index ident.Index
+}
+
 // Compacted reports that a snapshot of the member's own state machine is synced to disk.
 type Compacted struct {
 	At       time.Duration
@@ -121,6 +127,7 @@
 func (e StartHandover) eventTime() time.Duration     { return e.At }
 func (e Saved) eventTime() time.Duration             { return e.At }
 func (e DiskFailed) eventTime() time.Duration        { return e.At }
+func (e Applied) eventTime() time.Duration           { return e.At }
 func (e Compacted) eventTime() time.Duration         { return e.At }
 func (e VoteRequested) eventTime() time.Duration     { return e.At }
 func (e AppendRequested) eventTime() time.Duration   { return e.At }
--- a/control/consensus/invariants_test.go
+++ b/control/consensus/invariants_test.go
@@ -83,6 +83,9 @@
 			agreed := false
 			for index := min(a.node.log.lastIndex(), b.node.log.lastIndex()); index > max(a.node.log.baseIndex, b.node.log.baseIndex); index-- {
 				x, y := a.node.log.entries[index-a.node.log.baseIndex-1], b.node.log.entries[index-b.node.log.baseIndex-1]
+				if loaded, stored := a.load(x), b.load(y); loaded != nil && stored != nil {
+					x, y = loaded, stored
+				}
 				if agreed && (x.Term != y.Term || string(x.Data) != string(y.Data) || x.LogMs != y.LogMs) {
 					sim.reportViolation("logs of %s and %s agree after entry %d but differ at it", a.name, b.name, index)
 				}
--- a/control/consensus/leader.go
+++ b/control/consensus/leader.go
@@ -44,6 +44,7 @@
 	nextIndex  uint64        // next index to send
 	probing    bool          // nextIndex is a guess, so only one append is sent at a time
 	inFlight   int           // appends with entries that await replies
+	largeSent  bool          // one of them exceeds maxBatchBytes
 	ackedRound uint64        // last heartbeat round that the peer acknowledged
 	lastSeen   time.Duration // time of the last reply
 	hasReplied bool          // the peer has replied to this leader in its term
@@ -162,6 +163,12 @@
 		}
 		return
 	}
+	if limit := n.cfg.PendingBytes; limit > 0 && n.log.bytesBetween(min(n.commitIndex, n.syncedIndex), n.log.lastIndex()) > limit {
+		for _, p := range e.Items {
+			n.emit(RequestRejected{Token: p.Token, Code: fault.Busy, Reason: "earlier changes are not committed or not on disk yet"})
+		}
+		return
+	}
 	entries := make([]*wire.Entry, 0, len(e.Items))
 	for i, p := range e.Items {
 		entry := n.newEntry(wire.EntryKind_ENTRY_KIND_DATA, e.WallTime)
@@ -190,6 +197,11 @@
 	} else {
 		for p.inFlight < maxInFlightAppends && p.nextIndex <= n.log.lastIndex() && (!p.probing || p.inFlight == 0) {
 			entries := n.log.entriesAfter(p.nextIndex-1, n.log.lastIndex(), maxBatchEntries, maxBatchBytes)
+			isLarge := n.log.bytesBetween(p.nextIndex-1, p.nextIndex) > maxBatchBytes
+			if p.inFlight > 0 && (isLarge || p.largeSent) {
+				break // a large append is sent alone, as each one is encoded in memory
+			}
+			p.largeSent = isLarge
 			n.sendAppend(m, p.nextIndex-1, entries)
 			p.nextIndex += uint64(len(entries))
 			p.inFlight++
--- a/control/consensus/log.go
+++ b/control/consensus/log.go
@@ -11,6 +11,19 @@
 	maxBatchBytes   = 512 << 10 // can be transferred within the request timeout of 1 s on a slow link
 )
 
+// Evict returns a copy of an entry that is on the member's disk, without its data. Only data entries have data.
+func Evict(e *wire.Entry) *wire.Entry {
+	if e.Kind != wire.EntryKind_ENTRY_KIND_DATA {
+		return e
+	}
+	return &wire.Entry{Index: e.Index, Term: e.Term, Kind: e.Kind, LogMs: e.LogMs, TimeMs: e.TimeMs}
+}
+
+// IsEvicted returns whether the data of an entry must be loaded from the member's disk. An entry with empty data may be loaded, too.
+func IsEvicted(e *wire.Entry) bool {
+	return e.Kind == wire.EntryKind_ENTRY_KIND_DATA && len(e.Data) == 0
+}
+
 // entryLog is the part of the log after baseIndex; earlier entries were compacted or covered by a snapshot.
 type entryLog struct {
 	baseIndex       uint64
@@ -18,6 +31,9 @@
 	baseLogTime     int64            // log time of the entry at baseIndex, in milliseconds
 	baseMembership  *wire.Membership // latest membership up to baseIndex
 	entries         []*wire.Entry
+	sizes           []int            // encoded sizes of entries, with their data, in bytes
+	evictedIndex    uint64           // data entries up to it are evicted, or compacted
+	heldBytes       int              // size of the entries after evictedIndex
 	membership      *wire.Membership // latest membership in the log, committed or not
 	membershipIndex uint64
 }
@@ -53,7 +69,7 @@
 	var out []*wire.Entry
 	for i := index + 1; i <= last && len(out) < maxEntries; i++ {
 		e := l.entries[i-l.baseIndex-1]
-		maxBytes -= proto.Size(e)
+		maxBytes -= l.sizes[i-l.baseIndex-1]
 		if maxBytes < 0 && len(out) > 0 {
 			break
 		}
@@ -64,10 +80,38 @@
 
 func (l *entryLog) append(entries ...*wire.Entry) {
 	for _, e := range entries {
-		l.entries = append(l.entries, e)
-		if e.Kind == wire.EntryKind_ENTRY_KIND_MEMBERS {
-			l.membership, l.membershipIndex = e.Members, e.Index
-		}
+		l.appendSized(e, proto.Size(e))
+	}
+}
+
+// appendSized appends an entry of a known size. Entries that are evicted already must come first.
+func (l *entryLog) appendSized(e *wire.Entry, size int) {
+	l.entries, l.sizes = append(l.entries, e), append(l.sizes, size)
+	l.heldBytes += size
+	if e.Kind == wire.EntryKind_ENTRY_KIND_MEMBERS {
+		l.membership, l.membershipIndex = e.Members, e.Index
+	}
+	if IsEvicted(e) {
+		l.evictedIndex, l.heldBytes = e.Index, 0
+	}
+}
+
+// bytesBetween returns the size of the entries after index and up to last.
+func (l *entryLog) bytesBetween(index, last uint64) int {
+	total := 0
+	for i := max(index, l.baseIndex) + 1; i <= min(last, l.lastIndex()); i++ {
+		total += l.sizes[i-l.baseIndex-1]
+	}
+	return total
+}
+
+// evict drops the data of the oldest entries up to last until the others have at most maxBytes.
+func (l *entryLog) evict(last uint64, maxBytes int) {
+	for i := l.evictedIndex + 1; i <= min(last, l.lastIndex()) && l.heldBytes > maxBytes; i++ {
+		position := i - l.baseIndex - 1
+		l.entries[position] = Evict(l.entries[position])
+		l.evictedIndex = i
+		l.heldBytes -= l.sizes[position]
 	}
 }
 
@@ -76,7 +120,11 @@
 	if index > l.lastIndex() {
 		return
 	}
-	l.entries = l.entries[:index-l.baseIndex-1]
+	l.heldBytes -= l.bytesBetween(max(index-1, l.evictedIndex), l.lastIndex())
+	l.evictedIndex = min(l.evictedIndex, index-1)
+	position := index - l.baseIndex - 1
+	clear(l.entries[position:])
+	l.entries, l.sizes = l.entries[:position], l.sizes[:position]
 	if l.membershipIndex < index {
 		return
 	}
@@ -101,7 +149,10 @@
 		}
 	}
 	lastDropped := dropped[len(dropped)-1]
+	l.heldBytes -= l.bytesBetween(l.evictedIndex, index)
+	l.evictedIndex = max(l.evictedIndex, index)
 	l.entries = append([]*wire.Entry(nil), l.entries[index-l.baseIndex:]...)
+	l.sizes = append([]int(nil), l.sizes[index-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm, l.baseLogTime = lastDropped.Index, lastDropped.Term, lastDropped.LogMs
 }
 
@@ -109,7 +160,7 @@
 func (l *entryLog) reset(s *wire.Snapshot) {
 	*l = entryLog{
 		baseIndex: s.GetIndex(), baseTerm: s.GetTerm(), baseLogTime: s.GetLogMs(), baseMembership: s.GetMembers(),
-		membership: s.GetMembers(), membershipIndex: s.GetIndex(),
+		membership: s.GetMembers(), membershipIndex: s.GetIndex(), evictedIndex: s.GetIndex(),
 	}
 }
 
--- a/control/consensus/node.go
+++ b/control/consensus/node.go
@@ -35,12 +35,16 @@
 	DefaultChunkSize       = 512 << 10
 )
 
+// maxPendingReplies limits the replies that wait for the disk. Senders wait for a second.
+const maxPendingReplies = 1024
+
 // Config holds the contents of a member's data folder and the settings of its Node. Zero intervals and
 // sizes mean the defaults.
 type Config struct {
 	State               *wire.HardState
 	Snapshot            *wire.Snapshot // nil if there is none
-	Entries             []*wire.Entry  // log after the snapshot
+	Entries             []*wire.Entry  // log after the snapshot; the first ones may be evicted
+	Sizes               []int          // encoded sizes of Entries in bytes; may be nil if none is evicted
 	Now                 time.Duration  // monotonic time at the start
 	Seed                uint64         // for the jitter of election timeouts
 	Heartbeat           time.Duration  // interval between heartbeats
@@ -48,6 +52,9 @@
 	MaxElection         time.Duration  // longest election timeout
 	RetainedEntries     uint64         // entries kept in memory before a snapshot, for members that lag behind
 	ChunkSize           int            // bytes of a snapshot in one request
+	HeldBytes           int            // entries in memory beyond which synced ones are evicted; 0 means no limit
+	ApplyBytes          int            // entries passed to the state machine that it has not applied; 0 means no limit
+	PendingBytes        int            // uncommitted or unsynced entries beyond which proposals are refused; 0 means no limit
 	ReplaceSilentVoters bool           // replace silent voters by new members, and remove them from an even number of voters
 }
 
@@ -68,6 +75,7 @@
 	snapshot     *wire.Snapshot
 	commitIndex  uint64
 	appliedIndex uint64 // last index passed to the state machine
+	doneIndex    uint64 // last index that the state machine has applied
 	syncedIndex  uint64 // last index of the log that is synced
 
 	lastSeq        uint64 // Seq of the last Save
@@ -118,10 +126,15 @@
 	if cfg.Snapshot != nil {
 		n.snapshot = cfg.Snapshot
 		n.log.reset(cfg.Snapshot)
-		n.commitIndex, n.appliedIndex = cfg.Snapshot.Index, cfg.Snapshot.Index
+		n.commitIndex, n.appliedIndex, n.doneIndex = cfg.Snapshot.Index, cfg.Snapshot.Index, cfg.Snapshot.Index
 	}
-	for _, e := range cfg.Entries {
-		if e.Index == n.log.lastIndex()+1 {
+	for i, e := range cfg.Entries {
+		if e.Index != n.log.lastIndex()+1 {
+			continue
+		}
+		if len(cfg.Sizes) > 0 {
+			n.log.appendSized(e, cfg.Sizes[i])
+		} else {
 			n.log.append(e)
 		}
 	}
@@ -165,6 +178,9 @@
 		n.handleSaved(e.Seq)
 	case DiskFailed:
 		n.fail()
+	case Applied:
+		n.doneIndex = max(n.doneIndex, uint64(e.Index))
+		n.deliver()
 	case Compacted:
 		n.handleCompacted(e.Snapshot)
 	case VoteRequested:
@@ -214,6 +230,9 @@
 		return
 	}
 	n.pendingReplies = append(n.pendingReplies, pendingReply{seq, reply})
+	if over := len(n.pendingReplies) - maxPendingReplies; over > 0 {
+		n.pendingReplies = append(n.pendingReplies[:0], n.pendingReplies[over:]...) // the oldest senders no longer wait
+	}
 }
 
 // handleSaved emits the replies that waited for the Saves up to seq, and continues an election or commits
@@ -227,6 +246,10 @@
 		n.syncedIndex = max(n.syncedIndex, n.unsyncedWrites[0].lastIndex)
 		n.unsyncedWrites = n.unsyncedWrites[1:]
 	}
+	if n.cfg.HeldBytes > 0 {
+		n.log.evict(n.syncedIndex, n.cfg.HeldBytes)
+		n.dropEvicted()
+	}
 	stillPending := n.pendingReplies[:0]
 	for _, w := range n.pendingReplies {
 		if w.seq <= seq {
@@ -255,16 +278,29 @@
 
 // commitThrough commits the entries up to and including index and passes them to the state machine.
 func (n *Node) commitThrough(index uint64) {
-	if index <= n.commitIndex {
-		return
+	if index > n.commitIndex {
+		n.commitIndex = index
+		n.deliver()
+	}
+}
+
+// deliver passes committed entries to the state machine, as many as may wait there.
+func (n *Node) deliver() {
+	for n.appliedIndex < n.commitIndex {
+		maxBytes := 1 << 62
+		if n.cfg.ApplyBytes > 0 {
+			if maxBytes = n.cfg.ApplyBytes - n.log.bytesBetween(n.doneIndex, n.appliedIndex); maxBytes <= 0 {
+				return // continued when the state machine has applied some
+			}
+		}
+		entries := n.log.entriesAfter(n.appliedIndex, n.commitIndex, int(n.commitIndex-n.appliedIndex), maxBytes)
+		n.emit(Apply{Entries: entries})
+		n.appliedIndex += uint64(len(entries))
 	}
-	n.commitIndex = index
-	n.emit(Apply{Entries: n.log.entriesAfter(n.appliedIndex, index, int(index-n.appliedIndex), 1<<62)})
-	n.appliedIndex = index
 }
 
 // handleCompacted keeps a new snapshot of the member's state machine and drops the entries that are no
-// longer needed.
+// longer needed, and those that the disk no longer holds.
 func (n *Node) handleCompacted(s *wire.Snapshot) {
 	if s.Index > n.appliedIndex || s.Index <= n.snapshot.GetIndex() {
 		return
@@ -273,6 +309,12 @@
 	if s.Index > n.cfg.RetainedEntries {
 		n.log.compact(s.Index - n.cfg.RetainedEntries)
 	}
+	n.dropEvicted()
+}
+
+// dropEvicted drops the evicted entries that the snapshot covers, as the disk may no longer hold them.
+func (n *Node) dropEvicted() {
+	n.log.compact(min(n.snapshot.GetIndex(), n.log.evictedIndex))
 }
 
 // fail stops the node from acknowledging anything further, because the contents of its disk are unknown.
--- a/control/consensus/rules_test.go
+++ b/control/consensus/rules_test.go
@@ -368,3 +368,81 @@
 	is.Equal(h.log.baseIndex, uint64(4))
 	is.Equal(h.log.lastIndex(), uint64(4))
 }
+
+// Guards against a state machine that falls behind and lets all committed entries pile up in memory, and against one that
+// gets none any more.
+func TestEntriesForTheStateMachineAreBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	h.cfg.ApplyBytes, h.cfg.HeldBytes = 3000, 2000
+	var entries []*wire.Entry
+	for i := uint64(3); i <= 40; i++ {
+		entries = append(entries, &wire.Entry{Index: i, Term: 5, Kind: wire.EntryKind_ENTRY_KIND_DATA, Data: make([]byte, 1000)})
+	}
+	applied, evicted, waiting := uint64(0), 0, 0
+	take := func(effects []Effect) {
+		for _, effect := range effects {
+			a, ok := effect.(Apply)
+			for _, e := range a.Entries {
+				is.Equal(e.Index, max(applied+1, e.Index)) // in order
+				applied = e.Index
+				waiting += len(e.Data)
+				if IsEvicted(e) {
+					evicted++
+				}
+			}
+			is.True(!ok || waiting <= 3000+1000)
+		}
+	}
+	take(h.receiveAppend(&wire.AppendRequest{Term: 5, PrevIndex: 2, PrevTerm: 4, Entries: entries, Commit: 40}))
+	is.True(applied < 10)
+	take(h.completeSaves())
+	is.True(h.log.heldBytes <= 2000)
+	for range 40 {
+		waiting = 0
+		take(h.Step(Applied{h.at, ident.Index(applied)}, nil))
+	}
+	is.Equal(applied, uint64(40))
+	is.True(evicted > 20)
+}
+
+// Guards against a leader that accepts proposals without end while its group can't commit them.
+func TestPendingProposalsAreBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	h.cfg.PendingBytes = 5000
+	h.winElection()
+	accepted := 0
+	for i := range 20 {
+		effects := h.Step(Propose{At: h.at, Items: []Proposal{{Token: Token(i + 1), Data: make([]byte, 1000)}}}, nil)
+		switch e := effects[0].(type) {
+		case ProposalAccepted:
+			accepted++
+		case RequestRejected:
+			is.Equal(e.Code, fault.Busy)
+		}
+	}
+	is.True(accepted >= 4 && accepted <= 6)
+	h.completeSaves()
+	h.receiveAppendReply("b", h.log.lastIndex())
+	_, ok := h.Step(Propose{At: h.at, Items: []Proposal{{Token: 99, Data: make([]byte, 1000)}}}, nil)[0].(ProposalAccepted)
+	is.True(ok)
+}
+
+// Guards against several large entries that are encoded in memory for one member at the same time.
+func TestLargeEntriesAreSentOneAtATime(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	h.winElection()
+	h.completeSaves()
+	h.receiveAppendReply("b", h.log.lastIndex())
+	sent := 0
+	for i := range 5 {
+		for _, r := range sentRequests(h.Step(Propose{At: h.at, Items: []Proposal{{Token: Token(i + 1), Data: make([]byte, maxBatchBytes+1)}}}, nil)) {
+			if a, ok := r.(*wire.AppendRequest); ok && a.To == "b" && len(a.Entries) > 0 {
+				sent++
+			}
+		}
+	}
+	is.Equal(sent, 1)
+}
--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -134,6 +134,12 @@
 	if err == nil && cmd.Join != nil && !c.wouldChange(*cmd.Join) {
 		return protocol.ProposeReply{}, nil
 	}
+	if err == nil && cmd.Change != nil {
+		if result, settled := c.settled(cmd.Change); settled {
+			return protocol.ProposeReply{Result: result}, nil
+		}
+		data = c.minimize(cmd, data)
+	}
 	if err == nil && cmd.Drain != nil {
 		done, err := c.drains.begin(ctx, c.opts.StateMachine, *cmd.Drain)
 		if done == nil {
@@ -149,6 +155,24 @@
 	return protocol.ProposeReply{Result: r}, nil
 }
 
+// settled returns the result of a change if it is certain already. Operators repeat a change whose answer was late, and a
+// large one would take as long again.
+func (c *Coordinator) settled(change *catalog.Change) (result registry.Result, settled bool) {
+	c.opts.StateMachine.view(func(r *registry.Registry) { result, settled = r.Settled(change) })
+	return result, settled
+}
+
+// minimize returns a command with a change of the catalog without what the leader's catalog has already. The member that
+// got the change could not leave it out if it had not applied the change's base yet.
+func (c *Coordinator) minimize(cmd registry.Command, data []byte) []byte {
+	minimal := cmd.Change
+	c.opts.StateMachine.view(func(r *registry.Registry) { minimal = r.Catalog.Minimize(cmd.Change) })
+	if minimal == cmd.Change {
+		return data
+	}
+	return registry.Command{Change: minimal}.Encode()
+}
+
 // submitAsLeader replicates a command that follows from what this member knows as the leader of a term. If it has lost
 // the leadership, the command is not passed on: what it knows may be outdated, and the new leader decides by itself.
 func (c *Coordinator) submitAsLeader(ctx context.Context, term ident.Term, cmd registry.Command) error {
@@ -191,6 +215,9 @@
 
 // Change replicates a change of the catalog.
 func (c *Coordinator) Change(ctx context.Context, change *catalog.Change) (registry.Result, error) {
+	if result, settled := c.settled(change); settled {
+		return result, nil
+	}
 	c.opts.StateMachine.view(func(r *registry.Registry) { change = r.Catalog.Minimize(change) })
 	return c.Submit(ctx, registry.Command{Change: change})
 }
--- a/control/coordinator/statemachine.go
+++ b/control/coordinator/statemachine.go
@@ -18,6 +18,9 @@
 // that is further behind gets the whole state.
 const maxEntries = 4096
 
+// maxEntryBytes limits the length of these commands. A command may contain a whole catalog.
+const maxEntryBytes = ident.Bytes(4 << 20)
+
 // StateMachine holds the replicated registry and its most recent commands.
 type StateMachine struct {
 	log *process.EventLog
@@ -25,6 +28,7 @@
 	mu           sync.Mutex
 	registry     *registry.Registry
 	entries      []protocol.LogEntry // consecutive commands, oldest first
+	entryBytes   ident.Bytes         // length of entries
 	base         ident.Index         // followers at or after this index can be served from entries
 	changed      chan struct{}       // closed and replaced at each change
 	cached       cachedState
@@ -64,16 +68,26 @@
 			m.drainedAt[c.Drain.Domain] = e.Index
 		}
 	}
-	m.entries = append(m.entries, protocol.LogEntry{Index: e.Index, Command: e.Data})
-	if over := len(m.entries) - maxEntries; over > 0 {
-		m.base = m.entries[over-1].Index
-		m.entries = m.entries[over:]
-	}
+	m.keepEntry(protocol.LogEntry{Index: e.Index, Command: e.Data})
 	m.logCommand(e.Index, c, result)
 	m.notifyFollowers()
 	return result
 }
 
+// keepEntry keeps a command for followers and drops the oldest ones beyond the limits. The caller holds m.mu.
+func (m *StateMachine) keepEntry(e protocol.LogEntry) {
+	m.entries = append(m.entries, e)
+	m.entryBytes += ident.Bytes(len(e.Command))
+	dropped := 0
+	for len(m.entries)-dropped > maxEntries || m.entryBytes > maxEntryBytes {
+		m.entryBytes -= ident.Bytes(len(m.entries[dropped].Command))
+		m.base = m.entries[dropped].Index
+		dropped++
+	}
+	clear(m.entries[:dropped]) // the array behind the slice is kept for long
+	m.entries = m.entries[dropped:]
+}
+
 // logCommand logs a command and its result.
 func (m *StateMachine) logCommand(index ident.Index, c registry.Command, result registry.Result) {
 	fields := logrus.Fields{"index": index, "code": string(result.Code), "why": result.Reason}
@@ -121,7 +135,8 @@
 	if err := m.registry.Restore(state); err != nil {
 		return err
 	}
-	m.entries, m.base = nil, m.registry.Index
+	m.entries, m.entryBytes, m.base = nil, 0, m.registry.Index
+	m.cached = cachedState{}
 	m.drainedAt, m.drainedFloor = map[ident.Domain]ident.Index{}, m.registry.Index
 	m.notifyFollowers()
 	return nil
--- a/control/journal/disk.go
+++ b/control/journal/disk.go
@@ -15,13 +15,15 @@
 	List() ([]string, error)
 	// Read returns the contents of a file.
 	Read(name string) ([]byte, error)
+	// ReadAt returns size bytes of a file from offset on.
+	ReadAt(name string, offset int64, size int) ([]byte, error)
 	// Create creates an empty file for writing and replaces any file of that name.
 	Create(name string) (File, error)
 	// Truncate shortens a file to size bytes and syncs it.
 	Truncate(name string, size int64) error
 	// Rename renames a file and replaces any file of the new name.
 	Rename(from, to string) error
-	// Remove deletes a file.
+	// Remove deletes a file if it exists.
 	Remove(name string) error
 	// Sync makes earlier creations, renames and removals durable.
 	Sync() error
@@ -84,6 +86,18 @@
 	return data, errors.WithStack(err)
 }
 
+// ReadAt implements Disk.
+func (f *Folder) ReadAt(name string, offset int64, size int) ([]byte, error) {
+	file, err := os.Open(f.filePath(name))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	data := make([]byte, size)
+	_, err = file.ReadAt(data, offset)
+	return data, errors.WithStack(err)
+}
+
 // Create implements Disk.
 func (f *Folder) Create(name string) (File, error) {
 	file, err := os.OpenFile(f.filePath(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
@@ -112,7 +126,12 @@
 }
 
 // Remove implements Disk.
-func (f *Folder) Remove(name string) error { return errors.WithStack(os.Remove(f.filePath(name))) }
+func (f *Folder) Remove(name string) error {
+	if err := os.Remove(f.filePath(name)); err != nil && !os.IsNotExist(err) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
 
 // Sync implements Disk.
 func (f *Folder) Sync() error { return errors.WithStack(f.lock.Sync()) }
--- a/control/journal/record.go
+++ b/control/journal/record.go
@@ -1,8 +1,11 @@
 package journal
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/binary"
 	"hash/crc32"
+	"io"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -58,23 +61,56 @@
 	return b.Entries, rest, true
 }
 
-// readSegment returns the entries of a segment and the size of its valid part in bytes. Each record is
-// synced before the next one is written, so only the last can be incomplete. A valid record after an
-// invalid one means that synced data is damaged, which is an error.
-func readSegment(data []byte) (entries []*wire.Entry, validSize int, err error) {
+// readSegment passes each record of a segment to insert, with its position in bytes, and returns the size of the valid
+// part in bytes. Each record is synced before the next one is written, so only the last can be incomplete. A valid
+// record after an invalid one means that synced data is damaged, which is an error.
+func readSegment(data []byte, insert func(offset, size int, entries []*wire.Entry) error) (validSize int, err error) {
 	rest := data
 	for len(rest) > 0 {
 		batch, next, ok := readBatch(rest)
 		if !ok {
 			break
 		}
-		entries, rest = append(entries, batch...), next
+		if err := insert(validSize, len(rest)-len(next), batch); err != nil {
+			return validSize, err
+		}
+		rest = next
+		validSize = len(data) - len(rest)
 	}
-	validSize = len(data) - len(rest)
 	for i := 1; i < len(rest); i++ {
 		if _, _, ok := readBatch(rest[i:]); ok {
-			return nil, validSize, errors.Errorf("invalid record at byte %d, followed by a valid record at byte %d", validSize, validSize+i)
+			return validSize, errors.Errorf("an invalid record at byte %d, followed by a valid record at byte %d", validSize, validSize+i)
 		}
 	}
-	return entries, validSize, nil
+	return validSize, nil
+}
+
+// gzipHeader begins a state that packState compressed. No encoding of a state machine begins with it: a JSON object
+// begins with a brace, and a protobuf message with the tag of a field.
+const gzipHeader = "\x1f\x8b"
+
+// packState returns a copy of a snapshot whose state is compressed.
+func packState(s *wire.Snapshot) (*wire.Snapshot, error) {
+	var packed bytes.Buffer
+	z := gzip.NewWriter(&packed)
+	if _, err := z.Write(s.State); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &wire.Snapshot{Index: s.Index, Term: s.Term, LogMs: s.LogMs, Members: s.Members, State: packed.Bytes()}, nil
+}
+
+// unpackState decompresses the state of a snapshot if packState compressed it.
+func unpackState(s *wire.Snapshot) error {
+	if !bytes.HasPrefix(s.State, []byte(gzipHeader)) {
+		return nil
+	}
+	z, err := gzip.NewReader(bytes.NewReader(s.State))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	s.State, err = io.ReadAll(z)
+	return errors.WithStack(err)
 }
--- a/control/replica/peers.go
+++ b/control/replica/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"cuminfall.example/control/consensus"
@@ -89,7 +90,12 @@
 		r.handleEvent(consensus.VoteReplied{At: r.nodeTime(), To: request.To, Request: m, Reply: reply})
 	case *wire.AppendRequest:
 		var reply *wire.AppendReply
-		reply, err = client.Append(ctx, m)
+		var loaded *wire.AppendRequest
+		if loaded, err = r.withData(m); err == nil {
+			reply, err = client.Append(ctx, loaded)
+		} else {
+			r.opts.Log.WithFields(logrus.Fields{"event": "load", "member": request.To}).WithError(err).Warn("could not read the entries that a member lacks")
+		}
 		r.handleEvent(consensus.AppendReplied{At: r.nodeTime(), To: request.To, Request: m, Reply: reply})
 	case *wire.InstallRequest:
 		var reply *wire.InstallReply
@@ -104,6 +110,25 @@
 	}
 }
 
+// withData returns an append with the data of its entries.
+func (r *Replica) withData(m *wire.AppendRequest) (*wire.AppendRequest, error) {
+	if !slices.ContainsFunc(m.Entries, consensus.IsEvicted) {
+		return m, nil
+	}
+	loaded := &wire.AppendRequest{Term: m.Term, Leader: m.Leader, PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm,
+		Entries: slices.Clone(m.Entries), Commit: m.Commit, Round: m.Round, To: m.To}
+	for i, e := range loaded.Entries {
+		if !consensus.IsEvicted(e) {
+			continue
+		}
+		var err error
+		if loaded.Entries[i], err = r.journal.Load(e.Index, e.Term); err != nil {
+			return nil, err
+		}
+	}
+	return loaded, nil
+}
+
 // runJoin asks the group to add this member until the group has its identity at its address.
 func (r *Replica) runJoin(ctx context.Context) {
 	ticks, stop := r.opts.Clock.Every(joinInterval)
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -26,6 +26,16 @@
 	requestTimeout       = time.Second
 	joinInterval         = 500 * time.Millisecond
 	defaultSnapshotEvery = 4096
+	defaultMemory        = 256 << 20
+)
+
+// Parts of a VM's memory and disk that a member's log may take. The rest is for the state machine, its snapshots and the
+// requests that are being served.
+const (
+	heldPart     = 16 // entries that are kept for members that lag behind
+	applyPart    = 32 // entries that wait for the state machine
+	pendingPart  = 16 // entries that are not committed or not on disk
+	snapshotPart = 16 // entries on the disk between two snapshots
 )
 
 // Options are the settings and dependencies of a Replica.
@@ -40,7 +50,9 @@
 	Log                 logrus.FieldLogger
 	Metrics             metrics.Registry
 	LocalAddr           net.Addr          // local address of connections to other members; nil lets the operating system choose
-	SnapshotEvery       int               // entries between snapshots; 0 means 4096
+	SnapshotEvery       int               // entries between snapshots at most; 0 means 4096
+	Memory              ident.Bytes       // of the VM; 0 means 256 MiB
+	DiskSize            ident.Bytes       // of the disk with Folder; 0 means that it is not smaller than Memory
 	ReplaceSilentVoters bool              // new members replace silent voters, and a member that was removed while isolated rejoins
 	Heartbeat           time.Duration     // interval of the leader's heartbeats; 0 means consensus.DefaultHeartbeat
 	Disk                journal.Disk      // replaces Folder in tests
@@ -58,6 +70,8 @@
 	baseMembership *wire.Membership // membership of the snapshot that the member started from
 	metrics        replicaMetrics
 
+	savedSnapshot uint64 // index of the snapshot on the disk; used by the goroutine that writes
+
 	applyMu sync.Mutex // held while the state machine is called
 
 	mu              sync.Mutex // guards everything below
@@ -101,6 +115,12 @@
 	if opts.SnapshotEvery == 0 {
 		opts.SnapshotEvery = defaultSnapshotEvery
 	}
+	if opts.Memory <= 0 {
+		opts.Memory = defaultMemory
+	}
+	if opts.DiskSize <= 0 {
+		opts.DiskSize = opts.Memory
+	}
 	r := &Replica{opts: opts, startTime: opts.Clock.Now(), metrics: newReplicaMetrics(opts.Metrics),
 		replies: map[consensus.Token]chan proto.Message{}, pendingByToken: map[consensus.Token]*pendingProposal{},
 		pendingByIndex: map[ident.Index]*pendingProposal{}, failed: make(chan struct{}), ctx: context.Background(),
@@ -144,6 +164,7 @@
 			return err
 		}
 		r.appliedIndex, r.baseMembership = ident.Index(c.Snapshot.Index), c.Snapshot.Members
+		r.savedSnapshot = c.Snapshot.Index
 	}
 	var seed [8]byte
 	if _, err := rand.Read(seed[:]); err != nil {
@@ -151,7 +172,9 @@
 	}
 	r.id = ident.Member(c.State.Id)
 	r.wasMember = wasMember(c)
-	r.node = consensus.New(consensus.Config{State: c.State, Snapshot: c.Snapshot, Entries: c.Entries,
+	memory := int(r.opts.Memory)
+	r.node = consensus.New(consensus.Config{State: c.State, Snapshot: c.Snapshot, Entries: c.Entries, Sizes: c.Sizes,
+		HeldBytes: memory / heldPart, ApplyBytes: memory / applyPart, PendingBytes: memory / pendingPart,
 		Seed: binary.LittleEndian.Uint64(seed[:]), ReplaceSilentVoters: r.opts.ReplaceSilentVoters, Heartbeat: r.opts.Heartbeat,
 		Now: r.nodeTime()})
 	return nil
@@ -176,7 +199,8 @@
 	return contains(c.Snapshot.GetMembers())
 }
 
-// Run takes part in the group until ctx ends or the disk or state machine fails. It returns that failure.
+// Run takes part in the group until ctx ends or the state machine fails. It returns that failure. While its disk refuses
+// writes, the member acknowledges nothing that must be durable, and tries again until they succeed.
 func (r *Replica) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -220,7 +244,7 @@
 	r.barriers = nil
 }
 
-// fail records an error of the disk or the state machine, after which the member takes no part in the group.
+// fail records an error of the state machine, after which the member takes no part in the group.
 func (r *Replica) fail(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -228,8 +252,8 @@
 		return
 	}
 	r.failure = err
-	r.opts.Log.WithError(err).Error("member stopped after a failure of its disk or state machine")
-	r.failPendingAfter(0, fault.Internal, "the disk or state machine failed") // before stepLocked, which would report lost leadership instead
+	r.opts.Log.WithError(err).Error("member stopped after a failure of its state machine")
+	r.failPendingAfter(0, fault.Internal, "the state machine failed") // before stepLocked, which would report lost leadership instead
 	r.stepLocked(consensus.DiskFailed{At: r.nodeTime()})
 	close(r.failed)
 }
@@ -268,9 +292,12 @@
 		case consensus.Save:
 			r.diskQueue = append(r.diskQueue, diskWrite{save: f})
 			notify(r.diskSignal)
-		case consensus.Apply, consensus.Restore:
+		case consensus.Apply:
 			r.applyQueue = append(r.applyQueue, f)
 			notify(r.applySignal)
+		case consensus.Restore:
+			r.applyQueue = []consensus.Effect{f} // the snapshot covers what was queued before
+			notify(r.applySignal)
 		case consensus.SendRequest:
 			r.workers.Go(func() { r.performRequest(r.ctx, f) })
 		case consensus.SendReply:
--- a/control/replica/status.go
+++ b/control/replica/status.go
@@ -49,7 +49,7 @@
 type replicaMetrics struct {
 	commitTime, syncTime               metrics.Timer
 	syncedEntries, snapshots, requests metrics.Counter
-	failedRequests                     metrics.Counter
+	failedRequests, failedWrites       metrics.Counter
 }
 
 func newReplicaMetrics(registry metrics.Registry) replicaMetrics {
@@ -59,6 +59,7 @@
 		syncedEntries:  metrics.GetOrRegisterCounter("replica.synced", registry),
 		snapshots:      metrics.GetOrRegisterCounter("replica.snapshots", registry),
 		requests:       metrics.GetOrRegisterCounter("replica.exchanges", registry),
+		failedWrites:   metrics.GetOrRegisterCounter("replica.failedwrites", registry),
 		failedRequests: metrics.GetOrRegisterCounter("replica.failures", registry),
 	}
 }
--- a/fleet/fault/fault.go
+++ b/fleet/fault/fault.go
@@ -55,6 +55,7 @@
 	Execution Execution `json:"run,omitempty"`
 	// RetryAfter is when the request can succeed, from now; 0 if that is not known.
 	RetryAfter time.Duration `json:"-"`
+	cause      error         // that Wrap converted, in this process
 }
 
 // New returns an error with a formatted message; peer may be empty.
@@ -72,9 +73,12 @@
 	if errors.As(cause, &inner) {
 		return cause
 	}
-	return &Error{Code: code, Step: step, Peer: peer, Message: cause.Error()}
+	return &Error{Code: code, Step: step, Peer: peer, Message: cause.Error(), cause: cause}
 }
 
+// Unwrap returns the error that Wrap converted, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Peer == "" {
--- a/fleet/protocol/client.go
+++ b/fleet/protocol/client.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/process"
@@ -135,8 +137,40 @@
 	})
 }
 
+// longReplies limits the bytes of the long replies that are encoded or written at the same time. Hundreds of followers ask
+// for the same registry at once, and each reply is a copy of it.
+var longReplies = semaphore.NewWeighted(maxLongReplyBytes)
+
+const (
+	maxLongReplyBytes = 16 << 20
+	minLongReplyBytes = 64 << 10
+)
+
+// longLength returns the approximate length of a reply if it is a long one, and 0 otherwise.
+func longLength(reply any) int64 {
+	follow, ok := reply.(FollowReply)
+	if !ok {
+		return 0
+	}
+	length := int64(len(follow.State))
+	for _, e := range follow.Entries {
+		length += int64(len(e.Command))
+	}
+	if length < minLongReplyBytes {
+		return 0
+	}
+	return min(length, maxLongReplyBytes)
+}
+
 // writeReply writes a reply as JSON, which is compressed if it is long and the peer accepts that.
 func writeReply(w http.ResponseWriter, r *http.Request, status int, reply any) {
+	held := longLength(reply)
+	if held > 0 {
+		if longReplies.Acquire(r.Context(), held) != nil {
+			return // the peer no longer waits
+		}
+		defer func() { longReplies.Release(held) }()
+	}
 	body, err := json.Marshal(reply)
 	if err != nil {
 		status, body = http.StatusInternalServerError, []byte("{}")
@@ -153,6 +187,10 @@
 		}
 		gzipWriters.Put(z)
 	}
+	if written := int64(len(body)); written < held {
+		longReplies.Release(held - written) // while it is written, only the compressed reply takes memory
+		held = written
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
 	_, _ = w.Write(body) // if writing fails, the peer has closed the connection and needs no response
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -141,6 +141,16 @@
 	return next, Result{}
 }
 
+// Settled returns the result of a change that no later command can alter, because the change was accepted before or
+// replaces an earlier version.
+func (r *Registry) Settled(ch *catalog.Change) (result Result, settled bool) {
+	if r.acceptedSet[ch.Digest] || ch.Base < r.Version() {
+		_, result = r.Validate(ch)
+		return result, true
+	}
+	return Result{}, false
+}
+
 func (r *Registry) applyChange(ch *catalog.Change) Result {
 	next, result := r.Validate(ch)
 	if next == nil {
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -39,6 +39,27 @@
 	is.Equal(other.Version(), catalog.Version(9))
 }
 
+// Guards against a repeated change that takes as long as the first attempt, and against an answer that a later command
+// would contradict.
+func TestSettledChanges(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	settled := func(ch *catalog.Change) (Result, bool) { return r.Settled(ch) }
+	_, ok := settled(newChange(0, 5, "a"))
+	is.True(!ok)
+	r.Apply(1, Command{Change: newChange(0, 5, "a")})
+	result, ok := settled(newChange(0, 5, "a"))
+	is.True(ok)
+	is.Equal(result, Result{})
+	result, ok = settled(newChange(0, 6, "b")) // of an earlier version
+	is.True(ok)
+	is.Equal(result.Code, fault.Conflict)
+	_, ok = settled(newChange(5, 6, "c"))
+	is.True(!ok)
+	_, ok = settled(newChange(9, 10, "d")) // version 9 may be on its way
+	is.True(!ok)
+}
+
 func announcement(id UpstreamID, address ident.Address, startedAt int64, sequence uint64, state State) *Upstream {
 	return &Upstream{ID: id, Service: "s", Address: address, Domain: "d", Slots: 1, StartedAt: startedAt, Sequence: sequence, State: state}
 }
