--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -51,7 +51,7 @@
 	disk    ident.Bytes
 	cancel  context.CancelFunc
 	server  *http.Server
-	done    chan error
+	running sync.WaitGroup // serves requests and runs the member
 }
 
 func (m *testMember) start() {
@@ -75,17 +75,17 @@
 		m.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m.Replica, m.cancel, m.done = r, cancel, make(chan error, 1)
+	m.Replica, m.cancel = r, cancel
 	m.server = &http.Server{Handler: r.Handler()}
-	go func() { _ = m.server.Serve(l) }()
-	go func() { m.done <- r.Run(ctx) }()
+	m.running.Go(func() { _ = m.server.Serve(l) })
+	m.running.Go(func() { _ = r.Run(ctx) })
 }
 
-// stop stops the member without a handover.
+// stop stops the member without a handover. It returns once the member's port is free, and at once if it does not run.
 func (m *testMember) stop() {
 	_ = m.server.Close()
 	m.cancel()
-	<-m.done
+	m.running.Wait()
 }
 
 func newGroup(t *testing.T, size int) []*testMember {
