entry/balancer: the names of objects, which callers choose, are not kept

Look-ups of 4,096 objects a service were bounded by their number, not by their length: names of 16 KB took 64 MB a service on a VM with 184 MB. Hashes are kept instead, as in the rest of the fleet. TestLongObjectNamesAreNotKept failed before (over 4 MB).

--- a/entry/balancer/balancer.go
+++ b/entry/balancer/balancer.go
@@ -15,7 +15,8 @@
 const (
 	// objectWarmTTL is how long an object is assumed to stay in the cache of an upstream that handled it.
 	objectWarmTTL = 20 * time.Second
-	// maxObjectsPerService bounds the objects that are tracked for one service.
+	// maxObjectsPerService bounds the objects that are tracked for one service. Callers choose their names, which may be
+	// long, so that only hashes of them are kept.
 	maxObjectsPerService = 4096
 	// maxWarmUpstreams bounds the upstreams that are tracked for one object.
 	maxWarmUpstreams = 4
@@ -88,7 +89,7 @@
 	meanTime           time.Duration // mean service time of all requests
 	objectMeasuredAt   time.Time     // last response to a request with an object
 	noObjectMeasuredAt time.Time     // last response to a request without an object
-	objects            map[string]*warmObject
+	objects            map[object.ID]*warmObject
 }
 
 // warmObject records the upstreams that handled an object most recently.
@@ -144,7 +145,7 @@
 		b.upstreams[id] = u
 		s := services[latest.Service]
 		if s == nil {
-			s = &service{name: latest.Service, coldTime: initialColdTime, warmTime: time.Duration(float64(initialColdTime) * initialWarmRatio), noObjectTime: initialColdTime / 2, meanTime: initialColdTime / 2, objects: map[string]*warmObject{}}
+			s = &service{name: latest.Service, coldTime: initialColdTime, warmTime: time.Duration(float64(initialColdTime) * initialWarmRatio), noObjectTime: initialColdTime / 2, meanTime: initialColdTime / 2, objects: map[object.ID]*warmObject{}}
 			if prev := b.services[latest.Service]; prev != nil {
 				s.coldTime, s.warmTime, s.noObjectTime, s.meanTime, s.objectMeasuredAt, s.noObjectMeasuredAt, s.objects = prev.coldTime, prev.warmTime, prev.noObjectTime, prev.meanTime, prev.objectMeasuredAt, prev.noObjectMeasuredAt, prev.objects
 			}
@@ -320,7 +321,7 @@
 
 // estimate returns the choice of an upstream with its expected latency, and its cost for comparison with others.
 func (b *Balancer) estimate(now time.Time, s *service, u *upstream, q *Query, pref preference) (Choice, time.Duration) {
-	objectWarm := s.isWarm(now, q.Object, u.ID)
+	objectWarm := q.Object != "" && s.isWarm(now, object.IDOf(q.Object), u.ID)
 	serviceTime := s.coldTime
 	cost := s.coldTime
 	rank := pref.rank(u)
@@ -411,9 +412,9 @@
 }
 
 // isWarm reports whether an upstream has recently handled an object.
-func (s *service) isWarm(now time.Time, key string, id registry.UpstreamID) bool {
-	o := s.objects[key]
-	if o == nil || key == "" {
+func (s *service) isWarm(now time.Time, name object.ID, id registry.UpstreamID) bool {
+	o := s.objects[name]
+	if o == nil {
 		return false
 	}
 	for _, w := range o.upstreams {
--- a/entry/balancer/balancer_test.go
+++ b/entry/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -302,3 +303,26 @@
 	c := choose(t, b, now, Query{Object: "x", MaxWait: 100 * time.Millisecond})
 	is.Equal(c.Rank, 1) // the next in the ranking, as at all other VMs
 }
+
+// Guards against an entry VM whose memory fills up with the names of objects, which callers choose.
+func TestLongObjectNamesAreNotKept(t *testing.T) {
+	is := is.New(t)
+	const nameSize, limit = 16 << 10, 4 << 20
+	now := time.Unix(1000, 0)
+	b := newTestBalancer(now, 1)
+	before := heapSize()
+	for i := range maxObjectsPerService {
+		b.RequestSent(now, "a1-0")
+		b.RequestEnded(now, AttemptResult{Service: "s", UpstreamID: "a1-0", Object: fmt.Sprintf("%*d", nameSize, i), Elapsed: time.Second, Load: 0})
+	}
+	is.True(heapSize()-before <= limit)
+	is.Equal(len(b.services["s"].objects), maxObjectsPerService)
+	runtime.KeepAlive(b)
+}
+
+func heapSize() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/entry/balancer/outcome.go
+++ b/entry/balancer/outcome.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/object"
 	"cuminfall.example/fleet/registry"
 )
 
@@ -154,7 +155,7 @@
 	u.failures = math.Max(0, u.decayedFailures(now)-0.2)
 	u.failuresUpdatedAt = now
 	if r.Object != "" {
-		s.markWarm(now, r.Object, r.UpstreamID)
+		s.markWarm(now, object.IDOf(r.Object), r.UpstreamID)
 	}
 }
 
@@ -183,14 +184,14 @@
 
 // markWarm records that an upstream has handled an object. It replaces the least recently used of the object's
 // upstreams.
-func (s *service) markWarm(now time.Time, key string, id registry.UpstreamID) {
-	o := s.objects[key]
+func (s *service) markWarm(now time.Time, name object.ID, id registry.UpstreamID) {
+	o := s.objects[name]
 	if o == nil {
 		if len(s.objects) >= maxObjectsPerService {
 			s.evictObjects(now)
 		}
 		o = &warmObject{}
-		s.objects[key] = o
+		s.objects[name] = o
 	}
 	o.lastUsed = now
 	slot := 0
