fleet/process: queued log lines are limited in bytes

4,096 lines waited for a slow reader whatever their length; a line may contain a caller's request ID or object of 16 KB, which is 64 MB. TestQueuedLinesAreLimitedInBytes: 2,048 lines of 64 KB, 4 MB are queued and the others counted as dropped.

--- a/fleet/process/eventlog.go
+++ b/fleet/process/eventlog.go
@@ -14,6 +14,8 @@
 const (
 	// maxQueuedLines is how many lines an Output queues for its writer.
 	maxQueuedLines = 4096
+	// maxQueuedBytes limits the length of these lines. A line may contain what a caller chose, such as a request's ID.
+	maxQueuedBytes = 4 << 20
 	// maxLinesPerSecond limits the log lines of each kind.
 	maxLinesPerSecond = 50
 )
@@ -21,9 +23,10 @@
 // Output is an io.Writer that never blocks. It queues lines, and drops and counts those for which the queue is full
 // because the reader of the process's output is too slow.
 type Output struct {
-	lines   chan []byte
-	pending atomic.Int64 // lines that are queued or being written
-	dropped atomic.Int64
+	lines        chan []byte
+	pending      atomic.Int64 // lines that are queued or being written
+	pendingBytes atomic.Int64 // their length
+	dropped      atomic.Int64
 }
 
 // NewOutput returns an Output that writes to w from a goroutine of its own.
@@ -33,6 +36,7 @@
 		for line := range o.lines {
 			// Errors are ignored: if the output is closed, there is nowhere to report them.
 			_, _ = w.Write(line)
+			o.pendingBytes.Add(-int64(len(line)))
 			o.pending.Add(-1)
 		}
 	}()
@@ -41,13 +45,18 @@
 
 // Write implements io.Writer.
 func (o *Output) Write(line []byte) (int, error) {
+	length := int64(len(line))
 	o.pending.Add(1)
-	select {
-	case o.lines <- append([]byte(nil), line...):
-	default:
-		o.pending.Add(-1)
-		o.dropped.Add(1)
+	if o.pendingBytes.Add(length) <= maxQueuedBytes {
+		select {
+		case o.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	o.pendingBytes.Add(-length)
+	o.pending.Add(-1)
+	o.dropped.Add(1)
 	return len(line), nil
 }
 
--- a/fleet/process/eventlog_test.go
+++ b/fleet/process/eventlog_test.go
@@ -45,3 +45,19 @@
 		t.Fatal("Flush did not return after its timeout")
 	}
 }
+
+// Guards against a program whose memory fills up with long lines while nobody reads its output.
+func TestQueuedLinesAreLimitedInBytes(t *testing.T) {
+	is := is.New(t)
+	_, writer := io.Pipe()
+	o := NewOutput(writer)
+	line := bytes.Repeat([]byte("x"), 64<<10)
+	for range maxQueuedLines / 2 {
+		n, err := o.Write(line)
+		is.NoErr(err)
+		is.Equal(n, len(line))
+	}
+	is.True(o.pendingBytes.Load() <= maxQueuedBytes)
+	is.True(o.pending.Load() >= maxQueuedBytes/int64(len(line))) // as many as the limit permits
+	is.Equal(o.Dropped(), maxQueuedLines/2-o.pending.Load())
+}
