control/consensus: committed entries that wait for a slow state machine are bounded on the disk

A leader in that state refuses proposals as busy. Entries that are not committed do not count, as they may need further ones for that.

--- a/control/consensus/follower.go
+++ b/control/consensus/follower.go
@@ -44,6 +44,9 @@
 	for prev < n.log.baseIndex && len(entries) > 0 { // entries up to baseIndex are committed
 		prev, prevTerm, entries = entries[0].Index, entries[0].Term, entries[1:]
 	}
+	if n.isBacklogged() {
+		entries = n.knownEntries(entries)
+	}
 	matched := prev + uint64(len(entries))
 	if prev >= n.log.baseIndex {
 		if term, ok := n.log.termAt(prev); !ok || term != prevTerm {
@@ -66,6 +69,16 @@
 	n.commitThrough(min(r.Commit, matched))
 }
 
+// knownEntries returns the entries before the first one that is not in the log.
+func (n *Node) knownEntries(entries []*wire.Entry) []*wire.Entry {
+	for i, e := range entries {
+		if term, ok := n.log.termAt(e.Index); e.Index > n.log.baseIndex && (!ok || term != e.Term) {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 // appendMissing appends the entries that are not in the log yet.
 func (n *Node) appendMissing(entries []*wire.Entry) {
 	for i, e := range entries {
--- a/control/consensus/leader.go
+++ b/control/consensus/leader.go
@@ -17,6 +17,9 @@
 // maxInFlightAppends is how many appends with entries may await replies from one peer.
 const maxInFlightAppends = 4
 
+// backlogPause is how long a peer that did not take all entries of an append gets no others.
+const backlogPause = 500 * time.Millisecond
+
 // leaderState is the state of a leader.
 type leaderState struct {
 	peers                 map[string]*peer
@@ -45,6 +48,7 @@
 	probing    bool          // nextIndex is a guess, so only one append is sent at a time
 	inFlight   int           // appends with entries that await replies
 	largeSent  bool          // one of them exceeds maxBatchBytes
+	fullUntil  time.Duration // until then the peer gets no entries, as its state machine is too far behind
 	ackedRound uint64        // last heartbeat round that the peer acknowledged
 	lastSeen   time.Duration // time of the last reply
 	hasReplied bool          // the peer has replied to this leader in its term
@@ -156,16 +160,26 @@
 	return "", ""
 }
 
+// overload returns why the leader takes no proposals for now, or an empty text if it does.
+func (n *Node) overload() string {
+	limit := n.cfg.PendingBytes
+	switch {
+	case limit > 0 && n.log.bytesBetween(min(n.commitIndex, n.syncedIndex), n.log.lastIndex()) > limit:
+		return "earlier changes are not committed or not on disk yet"
+	case n.isBacklogged():
+		return "earlier changes are not applied yet"
+	}
+	return ""
+}
+
 func (n *Node) handlePropose(e Propose) {
-	if code, reason := n.proposalRefusal(); code != "" {
-		for _, p := range e.Items {
-			n.emit(RequestRejected{Token: p.Token, Code: code, Reason: reason})
-		}
-		return
+	code, reason := n.proposalRefusal()
+	if code == "" {
+		code, reason = fault.Busy, n.overload()
 	}
-	if limit := n.cfg.PendingBytes; limit > 0 && n.log.bytesBetween(min(n.commitIndex, n.syncedIndex), n.log.lastIndex()) > limit {
+	if reason != "" {
 		for _, p := range e.Items {
-			n.emit(RequestRejected{Token: p.Token, Code: fault.Busy, Reason: "earlier changes are not committed or not on disk yet"})
+			n.emit(RequestRejected{Token: p.Token, Code: code, Reason: reason})
 		}
 		return
 	}
@@ -195,7 +209,7 @@
 	if p.nextIndex <= n.log.baseIndex && n.snapshot != nil {
 		n.sendSnapshotChunk(m, p)
 	} else {
-		for p.inFlight < maxInFlightAppends && p.nextIndex <= n.log.lastIndex() && (!p.probing || p.inFlight == 0) {
+		for n.now >= p.fullUntil && p.inFlight < maxInFlightAppends && p.nextIndex <= n.log.lastIndex() && (!p.probing || p.inFlight == 0) {
 			entries := n.log.entriesAfter(p.nextIndex-1, n.log.lastIndex(), maxBatchEntries, maxBatchBytes)
 			isLarge := n.log.bytesBetween(p.nextIndex-1, p.nextIndex) > maxBatchBytes
 			if p.inFlight > 0 && (isLarge || p.largeSent) {
@@ -281,6 +295,9 @@
 			// The peer replies again; appends sent earlier may still be waiting for their timeout.
 			p.probing, p.inFlight = false, 0
 		}
+		if r.Matched < e.Request.PrevIndex+uint64(len(e.Request.Entries)) {
+			p.nextIndex, p.fullUntil = p.matchIndex+1, n.now+backlogPause
+		}
 		n.advanceCommit()
 		n.promoteLearner(p)
 	} else if e.Request.PrevIndex > p.matchIndex || len(e.Request.Entries) > 0 {
--- a/control/consensus/node.go
+++ b/control/consensus/node.go
@@ -55,6 +55,7 @@
 	HeldBytes           int            // entries in memory beyond which synced ones are evicted; 0 means no limit
 	ApplyBytes          int            // entries passed to the state machine that it has not applied; 0 means no limit
 	PendingBytes        int            // uncommitted or unsynced entries beyond which proposals are refused; 0 means no limit
+	BacklogBytes        int            // committed entries that are not applied beyond which the log takes no others; 0 means no limit
 	ReplaceSilentVoters bool           // replace silent voters by new members, and remove them from an even number of voters
 }
 
@@ -299,6 +300,12 @@
 	}
 }
 
+// isBacklogged returns whether the state machine is so far behind that the log must not grow, because only applied entries
+// can be compacted. Entries that are not committed do not count: they may need further ones to be committed.
+func (n *Node) isBacklogged() bool {
+	return n.cfg.BacklogBytes > 0 && n.log.bytesBetween(n.doneIndex, n.commitIndex) > n.cfg.BacklogBytes
+}
+
 // handleCompacted keeps a new snapshot of the member's state machine and drops the entries that are no
 // longer needed, and those that the disk no longer holds.
 func (n *Node) handleCompacted(s *wire.Snapshot) {
--- a/control/consensus/rules_test.go
+++ b/control/consensus/rules_test.go
@@ -446,3 +446,85 @@
 	}
 	is.Equal(sent, 1)
 }
+
+// Guards against a member whose disk fills up with committed entries because its state machine is slow.
+func TestBacklogOfTheStateMachineIsBoundedInBytes(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	h.cfg.BacklogBytes = 3000
+	lastIndex, commit := uint64(2), uint64(2)
+	receive := func(count int) *wire.AppendReply {
+		request := &wire.AppendRequest{Term: 5, PrevIndex: lastIndex, PrevTerm: h.log.lastTerm(), Commit: commit}
+		for i := range count {
+			request.Entries = append(request.Entries, &wire.Entry{Index: lastIndex + uint64(i) + 1, Term: 5, Kind: wire.EntryKind_ENTRY_KIND_DATA, Data: make([]byte, 1000)})
+		}
+		reply := firstReply(append(h.receiveAppend(request), h.completeSaves()...)).(*wire.AppendReply)
+		is.True(reply.Ok)
+		is.Equal(reply.Matched, h.log.lastIndex())
+		lastIndex = h.log.lastIndex()
+		return reply
+	}
+	is.Equal(receive(8).Matched, uint64(10)) // what is not committed does not count, as it may need more entries for that
+	commit = 10
+	is.Equal(receive(1).Matched, uint64(11))
+	is.Equal(receive(1).Matched, uint64(11)) // too much is committed and not applied
+	h.Step(Applied{h.at, 9}, nil)
+	is.Equal(receive(1).Matched, uint64(12))
+}
+
+// Guards against a leader that sends a member the same entries without a pause while that member takes none, and against one that
+// accepts proposals without end while its own state machine is behind.
+func TestLeaderPausesWhileStateMachinesAreBehind(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(5, 1, 4)
+	h.cfg.BacklogBytes = 3000
+	h.winElection()
+	h.completeSaves()
+	first := h.log.lastIndex()
+	h.receiveAppendReply("b", first)
+	propose := func() []Effect {
+		return h.Step(Propose{At: h.at, Items: []Proposal{{Token: 1, Data: make([]byte, 1000)}}}, nil)
+	}
+	request := func(effects []Effect) *wire.AppendRequest {
+		for _, r := range sentRequests(effects) {
+			if a, ok := r.(*wire.AppendRequest); ok && a.To == "b" {
+				return a
+			}
+		}
+		return nil
+	}
+	sent := request(propose())
+	is.Equal(len(sent.Entries), 1)
+	refuse := func(sent *wire.AppendRequest) []Effect {
+		return h.Step(AppendReplied{At: h.at, To: "b", Request: sent, Reply: &wire.AppendReply{Term: h.term, Member: "b", Ok: true, Matched: first, Round: sent.Round}}, nil)
+	}
+	is.True(request(refuse(sent)) == nil)
+	resent := 0
+	for start := h.at; h.at < start+2*backlogPause; h.at += DefaultHeartbeat {
+		sent = request(h.Step(Tick{h.at}, nil))
+		if sent == nil {
+			continue
+		}
+		if len(sent.Entries) > 0 {
+			resent++
+			is.True(h.at >= start+backlogPause)
+		}
+		refuse(sent)
+	}
+	is.Equal(resent, 1)
+	h.at += backlogPause
+	h.Step(Tick{h.at}, nil)
+	h.receiveAppendReply("b", h.log.lastIndex())
+	accepted := 0
+	for range 20 {
+		if _, ok := propose()[0].(ProposalAccepted); ok {
+			accepted++
+		}
+		h.completeSaves()
+		h.receiveAppendReply("b", h.log.lastIndex())
+	}
+	is.True(accepted <= 4)
+	h.Step(Applied{h.at, ident.Index(h.log.lastIndex())}, nil)
+	_, ok := propose()[0].(ProposalAccepted)
+	is.True(ok)
+}
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -36,6 +36,7 @@
 	applyPart    = 32 // entries that wait for the state machine
 	pendingPart  = 16 // entries that are not committed or not on disk
 	snapshotPart = 16 // entries on the disk between two snapshots
+	backlogPart  = 4  // entries on the disk that are committed and not applied
 )
 
 // Options are the settings and dependencies of a Replica.
@@ -175,7 +176,8 @@
 	memory := int(r.opts.Memory)
 	r.node = consensus.New(consensus.Config{State: c.State, Snapshot: c.Snapshot, Entries: c.Entries, Sizes: c.Sizes,
 		HeldBytes: memory / heldPart, ApplyBytes: memory / applyPart, PendingBytes: memory / pendingPart,
-		Seed: binary.LittleEndian.Uint64(seed[:]), ReplaceSilentVoters: r.opts.ReplaceSilentVoters, Heartbeat: r.opts.Heartbeat,
+		BacklogBytes: int(r.opts.DiskSize) / backlogPart,
+		Seed:         binary.LittleEndian.Uint64(seed[:]), ReplaceSilentVoters: r.opts.ReplaceSilentVoters, Heartbeat: r.opts.Heartbeat,
 		Now: r.nodeTime()})
 	return nil
 }
