control/replica: a slow member's disk under 80 MB of changes

TestSlowStateMachineFitsDisk: 400 entries of 200 KB, one member's state machine takes 40 ms for each; its folder stays under 32 MB and it has the last entry at the end.

--- a/control/replica/bytes_test.go
+++ b/control/replica/bytes_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -17,9 +18,11 @@
 type lastEntryMachine struct {
 	last  []byte
 	index ident.Index
+	delay time.Duration // of each Apply
 }
 
 func (m *lastEntryMachine) Apply(e Entry) any {
+	time.Sleep(m.delay)
 	m.last, m.index = e.Data, e.Index
 	return len(e.Data)
 }
@@ -69,13 +72,7 @@
 // entries does, also while a member is away.
 func TestLargeEntriesFitMemoryAndDisk(t *testing.T) {
 	is := is.New(t)
-	group := newGroup(t, 3)
-	for _, m := range group {
-		m.stop()
-		m.kept, m.memory, m.disk = &lastEntryMachine{}, smallMemory, smallDisk
-		m.start()
-	}
-	waitFor(t, "three voters", func() bool { l := leader(group); return l != nil && countVoters(l) == 3 })
+	group := newSmallGroup(t)
 	before := heapSize()
 	away := group[0]
 	if leader(group) == away {
@@ -97,10 +94,46 @@
 		}
 		is.True(heapSize()-before <= smallMemory) // of three members
 	}
+	awaitLastEntry(t, group, largeEntry(entryCount-1))
+}
+
+// Guards against a member whose disk fills up with committed entries because its state machine is slower than the others'.
+func TestSlowStateMachineFitsDisk(t *testing.T) {
+	is := is.New(t)
+	group := newSmallGroup(t)
+	slow := group[0]
+	if leader(group) == slow {
+		slow = group[1]
+	}
+	slow.stop()
+	slow.delay = 40 * time.Millisecond
+	slow.start()
+	for i := range entryCount {
+		propose(t, group, largeEntry(i))
+		is.True(folderSize(t, slow.folder) <= smallDisk)
+	}
+	awaitLastEntry(t, group, largeEntry(entryCount-1))
+}
+
+// newSmallGroup returns a group of three voters on VMs with little memory and disk.
+func newSmallGroup(t *testing.T) []*testMember {
+	group := newGroup(t, 3)
+	for _, m := range group {
+		m.stop()
+		m.kept, m.memory, m.disk = &lastEntryMachine{}, smallMemory, smallDisk
+		m.start()
+	}
+	waitFor(t, "three voters", func() bool { l := leader(group); return l != nil && countVoters(l) == 3 })
+	return group
+}
+
+// awaitLastEntry waits until all members have applied an entry as the last one.
+func awaitLastEntry(t *testing.T, group []*testMember, entry string) {
+	t.Helper()
 	waitFor(t, "all members have applied the last entry", func() bool {
 		for _, m := range group {
 			same := false
-			m.View(func() { same = string(m.kept.last) == largeEntry(entryCount-1) })
+			m.View(func() { same = string(m.kept.last) == entry })
 			if !same {
 				return false
 			}
--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -47,6 +47,7 @@
 	*Replica
 	machine *recordingMachine
 	kept    *lastEntryMachine // replaces machine if it is set
+	delay   time.Duration     // of kept, for each entry
 	memory  ident.Bytes
 	disk    ident.Bytes
 	cancel  context.CancelFunc
@@ -62,7 +63,7 @@
 	var machine StateMachine = m.machine
 	snapshotEvery := 50
 	if m.kept != nil {
-		m.kept = &lastEntryMachine{}
+		m.kept = &lastEntryMachine{delay: m.delay}
 		machine, snapshotEvery = m.kept, 0
 	}
 	r, err := Open(Options{Name: m.name, Address: m.address, Folder: m.folder, Peers: m.peers,
