entry/follower: a long reply that is arriving is waited for

The VM's link was full of uploads, so that the registry of 2,800 routes took longer than the 2.5 s after which a follow request is given up; the next one began anew, without end. The limit of 6 s for a VM that is far behind counted commands, not bytes.

A request whose reply is arriving when its time is over is kept for up to 20 s, while another member is asked, as the slow link may be that member's. The first complete reply is taken. A reply without a byte for 1.5 s is given up.

TestLongReplyOverSaturatedLinkIsWaitedFor (400 KB at 100 KB/s) failed before: index 0 after 10 s. TestLongReplyOfSlowMemberDoesNotDelayAnother guards the other case; it passed before as well.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -25,6 +25,11 @@
 	// catchUpTimeout bounds the reply that carries everything a VM missed during a restart or a long network
 	// partition: 60 KB over a 2 Mbit/s link that is saturated by callers.
 	catchUpTimeout = 6 * time.Second
+	// lateFollowTimeout bounds a reply that is still arriving when the timeouts above have passed. A registry of thousands
+	// of routes takes many seconds over a link that is saturated by uploads, and a new request would begin anew.
+	lateFollowTimeout = 20 * time.Second
+	// replySilence is the time without a byte of a reply after which it no longer counts as arriving.
+	replySilence = longPollMargin
 	// catchUpThreshold is the number of missing commands above which catchUpTimeout applies.
 	catchUpThreshold = 50
 	// probeTimeout bounds the search for a member to follow.
@@ -91,6 +96,7 @@
 	targetIndex ident.Index // log index of the followed member when it was chosen
 	// lastFollowFailure is when a follow request to a member last failed. A member may answer searches and nothing else.
 	lastFollowFailure map[ident.Address]time.Time
+	late              *followCall // call that was not given up after its timeout, as its reply was arriving; nil if there is none
 }
 
 // New returns a follower with an empty registry; Run starts it.
@@ -135,18 +141,18 @@
 			}
 			continue
 		}
-		reply, err := f.fetchChanges(ctx, member)
+		from, reply, err := f.fetchChanges(ctx, member)
 		if err != nil {
 			f.lastFollowFailure[member] = f.opts.Clock.Now()
 		}
 		if err == nil && reply.Isolated {
-			err = fault.New(fault.Isolated, "follow", string(member), "member has no contact with a majority of the control group")
+			err = fault.New(fault.Isolated, "follow", string(from), "member has no contact with a majority of the control group")
 		}
 		if err == nil && reply.CatchingUp {
-			err = fault.New(fault.Stale, "follow", string(member), "member may lack changes that others have")
+			err = fault.New(fault.Stale, "follow", string(from), "member may lack changes that others have")
 		}
 		if err == nil {
-			err = f.applyReply(member, reply)
+			err = f.applyReply(from, reply)
 		}
 		if err != nil && ctx.Err() == nil {
 			f.opts.Log.WithFields(logrus.Fields{"event": "dependency_lost", "member": member, "index": f.registry.Index}).
@@ -168,12 +174,101 @@
 	f.followed = member
 }
 
-func (f *Follower) fetchChanges(ctx context.Context, member ident.Address) (protocol.FollowReply, error) {
+// followCall is a follow request that is being answered.
+type followCall struct {
+	member  ident.Address
+	results chan followResult
+	cancel  context.CancelFunc
+
+	mu        sync.Mutex
+	arrivedAt time.Time // when the last part of the reply arrived; zero before the first one
+}
+
+// followResult is the outcome of a follow request.
+type followResult struct {
+	reply protocol.FollowReply
+	err   error
+}
+
+// isArriving returns whether parts of the reply have arrived recently.
+func (c *followCall) isArriving(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.arrivedAt.IsZero() && now.Sub(c.arrivedAt) < replySilence
+}
+
+func (f *Follower) startFollowCall(ctx context.Context, member ident.Address) *followCall {
+	call := &followCall{member: member, results: make(chan followResult, 1)}
+	ctx, call.cancel = context.WithTimeout(ctx, lateFollowTimeout)
+	request := protocol.FollowRequest{Index: f.registry.Index, Wait: longPollWait}
+	go func() {
+		var r followResult
+		r.err = f.client.CallWatched(ctx, member, protocol.FollowPath, request, &r.reply, func() {
+			call.mu.Lock()
+			defer call.mu.Unlock()
+			call.arrivedAt = f.opts.Clock.Now()
+		})
+		call.results <- r
+	}()
+	return call
+}
+
+// fetchChanges requests the changes of the registry and returns them with the member that sent them. That is another one
+// than the followed member if a late reply arrives first. A reply that is arriving when the timeout passes is not given up:
+// the slow link may be that of the VM. Since it may also be that of the member, another one is asked meanwhile.
+func (f *Follower) fetchChanges(ctx context.Context, member ident.Address) (from ident.Address, reply protocol.FollowReply, err error) {
 	timeout := longPollWait + longPollMargin
 	if f.targetIndex > f.registry.Index+catchUpThreshold {
 		timeout = catchUpTimeout
 	}
-	return f.sendFollowRequest(ctx, member, protocol.FollowRequest{Index: f.registry.Index, Wait: longPollWait}, timeout)
+	call := f.startFollowCall(ctx, member)
+	expired := f.opts.Clock.After(timeout)
+	for {
+		var lateResults chan followResult
+		if f.late != nil {
+			lateResults = f.late.results
+		}
+		select {
+		case r := <-call.results:
+			call.cancel()
+			if r.err == nil {
+				f.dropLateCall() // it was sent earlier
+			}
+			return member, r.reply, r.err
+		case r := <-lateResults:
+			from = f.late.member
+			f.dropLateCall()
+			if r.err != nil || r.reply.Isolated || r.reply.CatchingUp || r.reply.Index <= f.registry.Index {
+				continue
+			}
+			f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": from, "index": r.reply.Index}).Info("late reply of a control member arrived")
+			call.cancel()
+			return from, r.reply, nil
+		case <-expired:
+			now := f.opts.Clock.Now()
+			if f.late != nil && !f.late.isArriving(now) {
+				f.dropLateCall()
+			}
+			if call.isArriving(now) && f.late != nil {
+				expired = f.opts.Clock.After(replySilence) // neither is given up
+				continue
+			}
+			if call.isArriving(now) {
+				f.late = call
+			} else {
+				call.cancel()
+			}
+			return member, protocol.FollowReply{}, fault.New(fault.Unreachable, "follow", string(member), "no complete reply within %s", timeout)
+		}
+	}
+}
+
+// dropLateCall gives up the late call, if there is one.
+func (f *Follower) dropLateCall() {
+	if f.late != nil {
+		f.late.cancel()
+		f.late = nil
+	}
 }
 
 func (f *Follower) sendFollowRequest(ctx context.Context, member ident.Address, request protocol.FollowRequest, timeout time.Duration) (protocol.FollowReply, error) {
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/json"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -33,6 +35,7 @@
 	stateReplies int           // replies that were begun with state
 	leader       ident.Address
 	unreadable   ident.Index // of a command that cannot be decoded
+	commandSize  int         // bytes of each command that compression doesn't remove
 	reportTimes  []time.Time // when reports arrived
 }
 
@@ -49,7 +52,7 @@
 	}
 	m.mu.Lock()
 	reply, unresponsive := protocol.FollowReply{Index: m.index, Isolated: m.isolated, CatchingUp: m.catchingUp, Leader: m.leader}, m.unresponsive
-	statusDelay, stateDelay := m.statusDelay, m.stateDelay
+	statusDelay, stateDelay, commandSize := m.statusDelay, m.stateDelay, m.commandSize
 	if !request.StatusOnly && request.Index < reply.Index {
 		m.stateReplies++
 	}
@@ -60,7 +63,7 @@
 	}
 	time.Sleep(stateDelay)
 	for i := request.Index + 1; i <= reply.Index; i++ {
-		command := registry.Command{Drain: &registry.Drain{Domain: ident.Domain(rune('a' + i)), Active: true}}
+		command := registry.Command{Drain: &registry.Drain{Domain: ident.Domain(rune('a'+i)) + randomDomain(i, commandSize), Active: true}}
 		entry := protocol.LogEntry{Index: i, Command: command.Encode()}
 		if i == m.unreadable {
 			entry.Command = json.RawMessage(`{"drain":1}`)
@@ -76,6 +79,13 @@
 	return reply, nil
 }
 
+// randomDomain returns a name of a domain that compression makes hardly shorter than size.
+func randomDomain(seed ident.Index, size int) ident.Domain {
+	data := make([]byte, size*3/4)
+	_, _ = rand.New(rand.NewSource(int64(seed))).Read(data) // never fails
+	return ident.Domain(base64.StdEncoding.EncodeToString(data))
+}
+
 func startMember(t *testing.T, m *fakeMember) ident.Address {
 	t.Helper()
 	mux := http.NewServeMux()
@@ -309,6 +319,88 @@
 	is.True(h.lateReplies > 0)
 }
 
+// startSlowLink returns the address of a relay to a member. All bytes from the member share a rate, in bytes a second.
+func startSlowLink(t *testing.T, member ident.Address, rate int) ident.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var link sync.Mutex
+	go func() {
+		for {
+			near, err := l.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", string(member))
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go func() {
+				_, _ = io.Copy(far, near)
+				_ = far.Close()
+			}()
+			go func() {
+				defer func() { _ = near.Close() }()
+				data := make([]byte, 1400)
+				for {
+					n, err := far.Read(data)
+					if err != nil {
+						return
+					}
+					link.Lock()
+					time.Sleep(time.Second * time.Duration(n) / time.Duration(rate))
+					link.Unlock()
+					if _, err := near.Write(data[:n]); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ident.Address(l.Addr().String())
+}
+
+// Guards against a VM that never gets a large registry because its link is saturated: each request was given up while its
+// reply arrived.
+func TestLongReplyOverSaturatedLinkIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	const rate, size = 100_000, 400_000
+	m := &fakeMember{index: 4, commandSize: size / 4}
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: []ident.Address{startSlowLink(t, startMember(t, m), rate)}, Log: process.NewLogger(io.Discard, "info")})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	waitForIndex(t, h, 4)
+	m.mu.Lock()
+	m.index = 8
+	m.mu.Unlock()
+	waitForIndex(t, h, 8)
+}
+
+// Guards against a VM that waits for the reply of a member on a slow link while another member could send it.
+func TestLongReplyOfSlowMemberDoesNotDelayAnother(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	const size = 400_000
+	slow, other := &fakeMember{index: 4, commandSize: size / 4}, &fakeMember{index: 4, commandSize: size / 4, statusDelay: 50 * time.Millisecond}
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Log: process.NewLogger(io.Discard, "info"),
+		Seeds: []ident.Address{startSlowLink(t, startMember(t, slow), size/40), startMember(t, other)}})
+	startedAt := time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	waitForIndex(t, h, 4)
+	is.True(time.Since(startedAt) < longPollWait+longPollMargin+2*probeTimeout)
+}
+
 // Guards against VMs that never recover after a restart of the whole fleet. The full state takes longer than
 // probeTimeout over a 2 Mbit/s link, and the state of five members at once takes five times as long.
 func TestCatchesUpOverSlowLink(t *testing.T) {
--- a/fleet/protocol/client.go
+++ b/fleet/protocol/client.go
@@ -74,8 +74,13 @@
 // reports keeps its code; other errors have the code fault.Unreachable. After several consecutive failures, the next
 // call opens a new connection, because the peer may no longer respond on the existing ones.
 func (c *Client) Call(ctx context.Context, address ident.Address, path string, request, reply any) error {
+	return c.CallWatched(ctx, address, path, request, reply, func() {})
+}
+
+// CallWatched is Call with a function that is called whenever a part of the reply has arrived.
+func (c *Client) CallWatched(ctx context.Context, address ident.Address, path string, request, reply any, arrived func()) error {
 	p := c.peerFor(address)
-	err := call(ctx, c.replies.Transport(p), "http://"+string(address)+path, request, reply)
+	err := call(ctx, c.replies.Transport(p), "http://"+string(address)+path, request, reply, arrived)
 	if err == nil {
 		p.failures.Store(0)
 		return nil
@@ -87,7 +92,7 @@
 	return fault.Wrap(err, fault.Unreachable, path, string(address))
 }
 
-func call(ctx context.Context, transport http.RoundTripper, url string, request, reply any) error {
+func call(ctx context.Context, transport http.RoundTripper, url string, request, reply any, arrived func()) error {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return err
@@ -102,7 +107,8 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	arrived()
+	data, err := io.ReadAll(watchedReader{response.Body, arrived})
 	if err != nil {
 		return err
 	}
@@ -119,6 +125,21 @@
 	return json.Unmarshal(data, reply)
 }
 
+// watchedReader calls a function after each read that returned bytes.
+type watchedReader struct {
+	io.Reader
+	arrived func()
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.arrived()
+	}
+	return n, err
+}
+
 // NewHandler returns an HTTP handler that passes the body of a request to serve and answers with the result or the
 // error of serve, encoded as JSON.
 func NewHandler(serve func(ctx context.Context, body []byte) (any, error)) http.Handler {
