control/ledger: the audit trail and the outcomes of changes are bounded in bytes

Beyond 8 and 4 MiB of texts, the oldest records keep who changed what and when, and the length in place of the text.

Members of an earlier build keep longer texts until all are replaced; only what is read from the trail differs meanwhile.

TestAuditTrailIsBoundedInBytes and TestLongAuditTrailOfEarlierBuildIsShortened fail without the limits.

--- a/control/ledger/change.go
+++ b/control/ledger/change.go
@@ -186,17 +186,14 @@
 func (l *Ledger) recordOutcome(id ident.ChangeID, sum digest, reply *rpc.ApplyReply) {
 	l.outcomes[id] = &outcome{digest: sum, reply: reply}
 	l.outcomeOrder = append(l.outcomeOrder, id)
-	if len(l.outcomeOrder) > MaxAuditRecords {
-		delete(l.outcomes, l.outcomeOrder[0])
-		l.outcomeOrder = l.outcomeOrder[1:]
-	}
+	l.outcomeBytes += textBytes(reply.GetLost())
+	l.trimOutcomes()
 }
 
 func (l *Ledger) appendAudit(c *rpc.Change) {
 	l.audit = append(l.audit, c)
-	if len(l.audit) > MaxAuditRecords {
-		l.audit = l.audit[1:]
-	}
+	l.auditBytes += textBytes(c)
+	l.trimAudit()
 }
 
 // changeDigest returns a digest by which a resubmitted change is recognized as the same: it covers
--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -27,9 +27,13 @@
 	sections map[document.Section]*rpc.Section
 	verdicts map[verdictTarget]*rpc.Verdict
 
-	audit        []*rpc.Change // oldest first
-	outcomes     map[ident.ChangeID]*outcome
-	outcomeOrder []ident.ChangeID // keys of outcomes, oldest first
+	audit           []*rpc.Change // oldest first
+	auditBytes      ident.Bytes   // length of their texts
+	trimmedAudit    int           // number of records at the start of audit whose texts are dropped or short
+	outcomes        map[ident.ChangeID]*outcome
+	outcomeOrder    []ident.ChangeID // keys of outcomes, oldest first
+	outcomeBytes    ident.Bytes      // length of the texts in outcomes
+	trimmedOutcomes int              // number of outcomes at the start of outcomeOrder whose texts are dropped or short
 
 	claims     map[claimKey]*claim
 	claimQueue []claimQueueEntry // all claims by log time, oldest first
--- a/control/ledger/snapshot.go
+++ b/control/ledger/snapshot.go
@@ -88,12 +88,18 @@
 		l.versions = v
 	}
 	l.audit = s.GetAudit()
+	for _, c := range l.audit {
+		l.auditBytes += textBytes(c)
+	}
 	for _, o := range s.GetOutcomes() {
 		l.outcomeOrder = append(l.outcomeOrder, ident.ChangeID(o.GetId()))
 		restored := &outcome{reply: o.GetReply()}
 		copy(restored.digest[:], o.GetDigest())
 		l.outcomes[ident.ChangeID(o.GetId())] = restored
+		l.outcomeBytes += textBytes(restored.reply.GetLost())
 	}
+	l.trimAudit() // the state of an earlier build may have more
+	l.trimOutcomes()
 	l.restoreClaims(s)
 	l.restoreRegistry(s)
 	for _, w := range s.GetHolders() {
