registry: a configuration that no VM can hold is refused, whatever its changes' lengths

A change had at most 6 MiB, but a configuration could grow by one patch after the other, and short routes take four times their length in the registry. Now the leader refuses a change (400) that makes the encoded configuration longer than 12 MiB, unless it makes a longer one shorter. The longest single change, of 23,000 routes with all fields, still fits.

Members do not refuse it when they apply the log, as those of an earlier build would not.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -138,6 +138,9 @@
 		if result, settled := c.settled(cmd.Change); settled {
 			return protocol.ProposeReply{Result: result}, nil
 		}
+		if result := c.checkSize(cmd.Change); result.Code != "" {
+			return protocol.ProposeReply{Result: result}, nil
+		}
 		data = c.minimize(cmd, data)
 	}
 	if err == nil && cmd.Drain != nil {
@@ -162,6 +165,12 @@
 	return result, settled
 }
 
+// checkSize returns the result of a change that would make the catalog longer than VMs can read, or an empty one.
+func (c *Coordinator) checkSize(change *catalog.Change) (result registry.Result) {
+	c.opts.StateMachine.view(func(r *registry.Registry) { result = r.CheckSize(change) })
+	return result
+}
+
 // minimize returns a command with a change of the catalog without what the leader's catalog has already. The member that
 // got the change could not leave it out if it had not applied the change's base yet.
 func (c *Coordinator) minimize(cmd registry.Command, data []byte) []byte {
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/fault"
@@ -14,6 +15,8 @@
 	maxAcceptedDigests = 4096
 	// maxDepartures limits the departures kept. They prevent late announcements from adding a departed upstream again.
 	maxDepartures = 4096
+	// MaxCatalogBytes limits the encoded catalog. VMs read the whole registry in one reply of process.MaxReplyBytes.
+	MaxCatalogBytes = ident.Bytes(12 << 20)
 )
 
 // Registry is the state that the VMs of a deployment share; it is not safe for concurrent use.
@@ -151,6 +154,23 @@
 	return Result{}, false
 }
 
+// CheckSize returns the result of a change that would make the catalog longer than MaxCatalogBytes, or an empty one. A catalog
+// that is too long already may be shortened. Apply does not check it: members of earlier builds accept such a change.
+func (r *Registry) CheckSize(ch *catalog.Change) Result {
+	if ch.Base != r.Version() {
+		return Result{}
+	}
+	base := r.Catalog
+	if base == nil {
+		base = &catalog.Catalog{}
+	}
+	size := base.Apply(ch).EncodedSize()
+	if size <= MaxCatalogBytes || size < base.EncodedSize() {
+		return Result{}
+	}
+	return Result{Code: fault.Invalid, Reason: fmt.Sprintf("the configuration would have %d bytes, expected at most %d", size, MaxCatalogBytes)}
+}
+
 func (r *Registry) applyChange(ch *catalog.Change) Result {
 	next, result := r.Validate(ch)
 	if next == nil {
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -1,6 +1,9 @@
 package registry
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -109,3 +112,35 @@
 	r.Apply(3, Command{Drain: &Drain{Domain: "d"}}) // a retry changes nothing
 	is.Equal(r.DrainEnded["d"], ident.Index(2))
 }
+
+// Guards against a catalog that grows change by change until no VM can read it, and against one that is too long already
+// and can no longer be shortened.
+func TestTooLongCatalogIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := New()
+	patch := func(names ...string) *catalog.Change {
+		ch := &catalog.Change{Digest: fmt.Sprint(r.Version()), Base: r.Version(), Version: r.Version() + 1, Items: catalog.Items{Routes: map[string]catalog.Route{},
+			Services: map[ident.Service]catalog.Service{"s": {Name: "s"}}}}
+		for _, name := range names {
+			ch.Routes[name] = catalog.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Splits: []catalog.Split{{Service: "s", Weight: 1}},
+				Source: json.RawMessage(`"` + strings.Repeat("x", 1<<20) + `"`)}
+		}
+		return ch
+	}
+	apply := func(ch *catalog.Change) { is.Equal(r.Apply(r.Index+1, Command{Change: ch}), Result{}) }
+	count := 0
+	for ; r.CheckSize(patch(fmt.Sprint(count))) == (Result{}); count++ {
+		apply(patch(fmt.Sprint(count)))
+	}
+	is.Equal(count, int(MaxCatalogBytes>>20)-1)
+	is.Equal(r.CheckSize(patch("more")).Code, fault.Invalid)
+	is.Equal(r.CheckSize(patch("0")), Result{}) // replaces a route
+
+	apply(patch("more", "most")) // as members of an earlier build accept it
+	shorter, longer := patch(), patch("x")
+	shorter.Remove.Routes = []string{"most"}
+	is.Equal(r.CheckSize(shorter), Result{}) // still too long, but less so
+	is.Equal(r.CheckSize(longer).Code, fault.Invalid)
+	longer.Base--
+	is.Equal(r.CheckSize(longer), Result{}) // left to Apply, which refuses the base
+}
