fleet/listener: a body longer than all bodies may be is not read

KNOWN-RED had TestEndlessRequestsAreBounded/body, seen once beside load: 168 MB in use, 140 allowed. Eight senders declare a body of 93 GB each, and the server read 24 MB of them into buffers that double, whose former copies are garbage that the collector finds late on a busy machine. A message whose declared length exceeds the budget is now refused before its first byte, as it can't be served.

TestBodyBeyondTheBudgetIsRefusedUnread failed before (no answer within 5 s). The bound and the test are unchanged.

--- a/fleet/listener/endless_test.go
+++ b/fleet/listener/endless_test.go
@@ -86,3 +86,25 @@
 		})
 	}
 }
+
+// Guards against a body that is read, and takes memory, although its declared length can't be served.
+func TestBodyBeyondTheBudgetIsRefusedUnread(t *testing.T) {
+	is := is.New(t)
+	s, err := Open(context.Background(), "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n, err := io.Copy(io.Discard, r.Body); err != nil && n == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	is.NoErr(err)
+	go func() { _ = s.Serve() }()
+	defer s.Close()
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	is.NoErr(c.SetReadDeadline(time.Now().Add(serverReadTimeout / 2)))
+	_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\nbeginning", maxServerBodyBytes+1)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+}
--- a/fleet/listener/server.go
+++ b/fleet/listener/server.go
@@ -45,7 +45,7 @@
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		body := s.bodies.NewReader(r.Body)
+		body := s.bodies.NewReader(r.Body, r.ContentLength)
 		defer func() { _ = body.Close() }() // the server closes it anyway
 		r.Body = body
 		h.ServeHTTP(w, r)
--- a/fleet/process/readbudget.go
+++ b/fleet/process/readbudget.go
@@ -18,9 +18,10 @@
 	held atomic.Int64
 }
 
-// NewReader returns a reader of a message that counts against the budget until it is closed.
-func (b *ReadBudget) NewReader(body io.ReadCloser) io.ReadCloser {
-	return &budgetReader{ReadCloser: body, budget: b}
+// NewReader returns a reader of a message that counts against the budget until it is closed. Length is what the message says
+// of itself, in bytes, and negative if it says nothing. A message that is longer than the whole budget is not read at all.
+func (b *ReadBudget) NewReader(body io.ReadCloser, length int64) io.ReadCloser {
+	return &budgetReader{ReadCloser: body, budget: b, tooLong: length > b.Max}
 }
 
 // Held returns the bytes that count against the budget.
@@ -33,12 +34,16 @@
 
 type budgetReader struct {
 	io.ReadCloser
-	budget *ReadBudget
-	taken  int64
+	budget  *ReadBudget
+	tooLong bool
+	taken   int64
 }
 
 // Read implements io.Reader.
 func (r *budgetReader) Read(p []byte) (int, error) {
+	if r.tooLong {
+		return 0, ErrReadBudget
+	}
 	n, err := r.ReadCloser.Read(p)
 	r.taken += int64(n)
 	if r.budget.held.Add(int64(n)) > r.budget.Max {
@@ -63,7 +68,7 @@
 func (t *budgetTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.RoundTripper.RoundTrip(r)
 	if err == nil {
-		response.Body = t.budget.NewReader(response.Body)
+		response.Body = t.budget.NewReader(response.Body, response.ContentLength)
 	}
 	return response, err
 }
