--- a/control/consensus/node.go
+++ b/control/consensus/node.go
@@ -35,6 +35,9 @@
 	DefaultChunkSize       = 512 << 10
 )
 
+// evictedEntryBytes is the memory that an entry takes without its data, here and in the journal.
+const evictedEntryBytes = 256
+
 // maxPendingReplies limits the replies that wait for the disk. Senders wait for a second.
 const maxPendingReplies = 1024
 
@@ -303,7 +306,12 @@
 // isBacklogged returns whether the state machine is so far behind that the log must not grow, because only applied entries
 // can be compacted. Entries that are not committed do not count: they may need further ones to be committed.
 func (n *Node) isBacklogged() bool {
-	return n.cfg.BacklogBytes > 0 && n.log.bytesBetween(n.doneIndex, n.commitIndex) > n.cfg.BacklogBytes
+	first := max(n.doneIndex, n.log.baseIndex)
+	if n.cfg.BacklogBytes == 0 || n.commitIndex <= first {
+		return false
+	}
+	memory := evictedEntryBytes * int(n.commitIndex-first)
+	return n.log.bytesBetween(first, n.commitIndex)+memory > n.cfg.BacklogBytes
 }
 
 // handleCompacted keeps a new snapshot of the member's state machine and drops the entries that are no
