entry/follower: a late reply is taken also while no member is found

A search may get no answer over the link that made the reply late; the reply, complete by then, waited for a search that succeeds. TestLateReplyIsUsedWhileSearchesFail. Each late call ends with a log line, late_reply.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -136,6 +136,9 @@
 	for ctx.Err() == nil {
 		member := f.followedMember()
 		if member == "" {
+			if f.followLateMember() {
+				continue
+			}
 			if !f.findMember(ctx) && clock.Sleep(ctx, f.opts.Clock, probeRetryDelay) != nil {
 				return
 			}
@@ -231,38 +234,76 @@
 		select {
 		case r := <-call.results:
 			call.cancel()
-			if r.err == nil {
-				f.dropLateCall() // it was sent earlier
+			if r.err == nil && r.reply.Index > f.registry.Index {
+				f.dropLateCall()
 			}
 			return member, r.reply, r.err
 		case r := <-lateResults:
-			from = f.late.member
-			f.dropLateCall()
-			if r.err != nil || r.reply.Isolated || r.reply.CatchingUp || r.reply.Index <= f.registry.Index {
-				continue
+			if from, useful := f.endLateCall(r); useful {
+				call.cancel()
+				return from, r.reply, nil
 			}
-			f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": from, "index": r.reply.Index}).Info("late reply of a control member arrived")
-			call.cancel()
-			return from, r.reply, nil
 		case <-expired:
-			now := f.opts.Clock.Now()
-			if f.late != nil && !f.late.isArriving(now) {
-				f.dropLateCall()
-			}
-			if call.isArriving(now) && f.late != nil {
-				expired = f.opts.Clock.After(replySilence) // neither is given up
+			if f.keepsWaiting(call) {
+				expired = f.opts.Clock.After(replySilence)
 				continue
 			}
-			if call.isArriving(now) {
-				f.late = call
-			} else {
-				call.cancel()
-			}
 			return member, protocol.FollowReply{}, fault.New(fault.Unreachable, "follow", string(member), "no complete reply within %s", timeout)
 		}
 	}
 }
 
+// keepsWaiting decides about a call whose time is over, and returns whether it is to be waited for: its reply is arriving, as
+// that of the late call is. Otherwise it becomes the late call or is given up.
+func (f *Follower) keepsWaiting(call *followCall) bool {
+	now := f.opts.Clock.Now()
+	if f.late != nil && !f.late.isArriving(now) {
+		f.dropLateCall()
+	}
+	switch {
+	case !call.isArriving(now):
+		call.cancel()
+	case f.late != nil:
+		return true
+	default:
+		f.late = call
+	}
+	return false
+}
+
+// endLateCall ends the late call with its result, and returns its member and whether the reply brings the registry forward.
+func (f *Follower) endLateCall(r followResult) (from ident.Address, useful bool) {
+	from = f.late.member
+	f.dropLateCall()
+	useful = r.err == nil && !r.reply.Isolated && !r.reply.CatchingUp && r.reply.Index > f.registry.Index
+	f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": from, "index": r.reply.Index, "before": f.registry.Index, "useful": useful}).
+		Info("late call of a control member ended")
+	return from, useful
+}
+
+// followLateMember applies the reply to the late call if it has arrived, and follows its member. A search might find none
+// over the link that made the reply late.
+func (f *Follower) followLateMember() bool {
+	if f.late == nil {
+		return false
+	}
+	select {
+	case r := <-f.late.results:
+		from, useful := f.endLateCall(r)
+		if !useful {
+			return false
+		}
+		if err := f.applyReply(from, r.reply); err != nil {
+			f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": from}).WithError(err).Warn("could not apply a late reply")
+			return false
+		}
+		f.follow(from, r.reply)
+		return true
+	default:
+		return false
+	}
+}
+
 // dropLateCall gives up the late call, if there is one.
 func (f *Follower) dropLateCall() {
 	if f.late != nil {
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -383,6 +383,24 @@
 	waitForIndex(t, h, 8)
 }
 
+// Guards against a late reply that is not used because no search gets an answer over the link that delays it.
+func TestLateReplyIsUsedWhileSearchesFail(t *testing.T) {
+	t.Parallel()
+	const rate, size = 100_000, 400_000
+	m := &fakeMember{index: 4, commandSize: size / 4}
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: []ident.Address{startSlowLink(t, startMember(t, m), rate)}, Log: process.NewLogger(io.Discard, "info")})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	defer func() { cancel(); <-done }()
+	time.Sleep(probeTimeout) // it follows the member
+	m.mu.Lock()
+	m.statusDelay = 2 * probeTimeout
+	m.mu.Unlock()
+	waitForIndex(t, h, 4)
+}
+
 // Guards against a VM that waits for the reply of a member on a slow link while another member could send it.
 func TestLongReplyOfSlowMemberDoesNotDelayAnother(t *testing.T) {
 	is := is.New(t)
