--- a/control/consensus/status.go
+++ b/control/consensus/status.go
@@ -19,13 +19,15 @@
 	Members     []*wire.Member
 	Isolated    bool   // a leader has no contact with a majority, or another member has none with a leader
 	Contact     uint64 // how often this member regained contact with a leader since its start
+	Backlogged  bool   // the log takes no entries, as the state machine is too far behind
 	Failed      bool   // the member stopped after a failure of its disk or state
 }
 
 // Status returns the node's view of the group at its monotonic time at.
 func (n *Node) Status(at time.Duration) Status {
 	s := Status{Role: n.role, Term: ident.Term(n.term), Leader: n.leaderAddress(),
-		LeaderID: ident.Member(n.leaderID), Committed: ident.Index(n.commitIndex), Members: n.members(), Contact: n.contact, Failed: n.failed}
+		LeaderID: ident.Member(n.leaderID), Committed: ident.Index(n.commitIndex), Members: n.members(), Contact: n.contact,
+		Backlogged: n.isBacklogged(), Failed: n.failed}
 	s.Isolated = n.lostLeader(at)
 	if n.role == Leader {
 		s.TermStart, s.LeaderSince = ident.Index(n.leaderState.termStart), n.leaderState.electedAt
--- a/control/replica/replica.go
+++ b/control/replica/replica.go
@@ -335,6 +335,10 @@
 			r.wasMember = true
 		}
 	}
+	if s.Backlogged != last.Backlogged {
+		r.opts.Log.WithFields(logrus.Fields{"event": "backlog", "behind": s.Backlogged, "committed": s.Committed, "applied": r.appliedIndex}).
+			Warn("whether the state machine is too far behind for further entries changed")
+	}
 	if s.Role == last.Role && s.Term == last.Term && s.LeaderID == last.LeaderID && s.Isolated == last.Isolated {
 		return
 	}
