--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -364,18 +364,24 @@
 	return ident.Address(l.Addr().String())
 }
 
+// startFollower runs a follower until the end of the test and returns its handler.
+func startFollower(t *testing.T, seeds ...ident.Address) *recordingHandler {
+	h := &recordingHandler{}
+	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: seeds, Log: process.NewLogger(io.Discard, "info")})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return h
+}
+
 // Guards against a VM that never gets a large registry because its link is saturated: each request was given up while its
 // reply arrived.
 func TestLongReplyOverSaturatedLinkIsWaitedFor(t *testing.T) {
 	t.Parallel()
 	const rate, size = 100_000, 400_000
 	m := &fakeMember{index: 4, commandSize: size / 4}
-	h := &recordingHandler{}
-	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: []ident.Address{startSlowLink(t, startMember(t, m), rate)}, Log: process.NewLogger(io.Discard, "info")})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { defer close(done); f.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	h := startFollower(t, startSlowLink(t, startMember(t, m), rate))
 	waitForIndex(t, h, 4)
 	m.mu.Lock()
 	m.index = 8
@@ -388,12 +394,7 @@
 	t.Parallel()
 	const rate, size = 100_000, 400_000
 	m := &fakeMember{index: 4, commandSize: size / 4}
-	h := &recordingHandler{}
-	f := New(Options{Clock: clock.System{}, Handler: h, Seeds: []ident.Address{startSlowLink(t, startMember(t, m), rate)}, Log: process.NewLogger(io.Discard, "info")})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { defer close(done); f.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	h := startFollower(t, startSlowLink(t, startMember(t, m), rate))
 	time.Sleep(probeTimeout) // it follows the member
 	m.mu.Lock()
 	m.statusDelay = 2 * probeTimeout
@@ -407,14 +408,8 @@
 	t.Parallel()
 	const size = 400_000
 	slow, other := &fakeMember{index: 4, commandSize: size / 4}, &fakeMember{index: 4, commandSize: size / 4, statusDelay: 50 * time.Millisecond}
-	h := &recordingHandler{}
-	f := New(Options{Clock: clock.System{}, Handler: h, Log: process.NewLogger(io.Discard, "info"),
-		Seeds: []ident.Address{startSlowLink(t, startMember(t, slow), size/40), startMember(t, other)}})
 	startedAt := time.Now()
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { defer close(done); f.Run(ctx) }()
-	defer func() { cancel(); <-done }()
+	h := startFollower(t, startSlowLink(t, startMember(t, slow), size/40), startMember(t, other))
 	waitForIndex(t, h, 4)
 	is.True(time.Since(startedAt) < longPollWait+longPollMargin+2*probeTimeout)
 }
