entry/follower: calls and searches that a full link delays are not given up

A call without a reply when its time is over is kept for up to 20 s, three at a time, while another member is asked; the first complete reply is applied and its member followed. Answers to earlier searches count for 6 s.

TestFollowsOverSaturatedLink and TestFindsMemberOverSaturatedLink failed before (no registry within 10 s).

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -25,15 +25,19 @@
 	// catchUpTimeout bounds the reply that carries everything a VM missed during a restart or a long network
 	// partition: 60 KB over a 2 Mbit/s link that is saturated by callers.
 	catchUpTimeout = 6 * time.Second
-	// lateFollowTimeout bounds a reply that is still arriving when the timeouts above have passed. A registry of thousands
-	// of routes takes many seconds over a link that is saturated by uploads, and a new request would begin anew.
+	// lateFollowTimeout bounds a call that the timeouts above did not end. Over a link that is saturated by uploads, packets wait
+	// for seconds, and the registry of thousands of routes takes many more; a new request would begin anew.
 	lateFollowTimeout = 20 * time.Second
+	// maxLateCalls bounds the calls that were not given up after their time.
+	maxLateCalls = 3
 	// replySilence is the time without a byte of a reply after which it no longer counts as arriving.
 	replySilence = longPollMargin
 	// catchUpThreshold is the number of missing commands above which catchUpTimeout applies.
 	catchUpThreshold = 50
-	// probeTimeout bounds the search for a member to follow.
+	// probeTimeout is the time after which a search for a member to follow is repeated.
 	probeTimeout = 1200 * time.Millisecond
+	// lateProbeTimeout bounds the answers to a search. Over a saturated link, answers to earlier searches come first.
+	lateProbeTimeout = 6 * time.Second
 	// probeRetryDelay is the wait after a search that found no member.
 	probeRetryDelay = 200 * time.Millisecond
 	// reportInterval is the time between regular reports of demand. The leader adjusts allowances to a change in
@@ -96,14 +100,19 @@
 	targetIndex ident.Index // log index of the followed member when it was chosen
 	// lastFollowFailure is when a follow request to a member last failed. A member may answer searches and nothing else.
 	lastFollowFailure map[ident.Address]time.Time
-	late              *followCall // call that was not given up after its timeout, as its reply was arriving; nil if there is none
+	late              []*followCall // calls that were not given up after their time, oldest first
+	results           chan followResult
+	probes            chan probeResult
+	search            context.Context // of the probes since a member was followed last; nil if there are none
+	endSearch         context.CancelFunc
+	openProbes        int // probes of search that have no result yet
 }
 
 // New returns a follower with an empty registry; Run starts it.
 func New(o Options) *Follower {
-	return &Follower{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, reportClient: protocol.Client{LocalAddr: o.LocalAddr, DialTimeout: lateReportTimeout},
+	return &Follower{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr, DialTimeout: lateProbeTimeout}, reportClient: protocol.Client{LocalAddr: o.LocalAddr, DialTimeout: lateReportTimeout},
 		seeds: o.Seeds, registry: registry.New(), reportTrigger: make(chan struct{}, 1), lateReports: make(chan struct{}, maxLateReports),
-		lastFailure: map[ident.Address]time.Time{}, lastFollowFailure: map[ident.Address]time.Time{}}
+		lastFailure: map[ident.Address]time.Time{}, lastFollowFailure: map[ident.Address]time.Time{}, results: make(chan followResult), probes: make(chan probeResult)}
 }
 
 // TriggerReport makes Run send the next report without waiting for the regular interval.
@@ -136,26 +145,26 @@
 	for ctx.Err() == nil {
 		member := f.followedMember()
 		if member == "" {
-			if f.followLateMember() {
-				continue
-			}
 			if !f.findMember(ctx) && clock.Sleep(ctx, f.opts.Clock, probeRetryDelay) != nil {
 				return
 			}
 			continue
 		}
-		from, reply, err := f.fetchChanges(ctx, member)
+		reply, err := f.fetchChanges(ctx, member)
 		if err != nil {
 			f.lastFollowFailure[member] = f.opts.Clock.Now()
 		}
+		if err == nil && reply == nil {
+			continue
+		}
 		if err == nil && reply.Isolated {
-			err = fault.New(fault.Isolated, "follow", string(from), "member has no contact with a majority of the control group")
+			err = fault.New(fault.Isolated, "follow", string(member), "member has no contact with a majority of the control group")
 		}
 		if err == nil && reply.CatchingUp {
-			err = fault.New(fault.Stale, "follow", string(from), "member may lack changes that others have")
+			err = fault.New(fault.Stale, "follow", string(member), "member may lack changes that others have")
 		}
 		if err == nil {
-			err = f.applyReply(from, reply)
+			err = f.applyReply(member, *reply)
 		}
 		if err != nil && ctx.Err() == nil {
 			f.opts.Log.WithFields(logrus.Fields{"event": "dependency_lost", "member": member, "index": f.registry.Index}).
@@ -177,11 +186,10 @@
 	f.followed = member
 }
 
-// followCall is a follow request that is being answered.
+// followCall is a follow request that has no result yet.
 type followCall struct {
-	member  ident.Address
-	results chan followResult
-	cancel  context.CancelFunc
+	member ident.Address
+	cancel context.CancelFunc
 
 	mu        sync.Mutex
 	arrivedAt time.Time // when the last part of the reply arrived; zero before the first one
@@ -189,6 +197,7 @@
 
 // followResult is the outcome of a follow request.
 type followResult struct {
+	call  *followCall
 	reply protocol.FollowReply
 	err   error
 }
@@ -201,25 +210,29 @@
 }
 
 func (f *Follower) startFollowCall(ctx context.Context, member ident.Address) *followCall {
-	call := &followCall{member: member, results: make(chan followResult, 1)}
-	ctx, call.cancel = context.WithTimeout(ctx, lateFollowTimeout)
+	call := &followCall{member: member}
+	callCtx, cancel := context.WithTimeout(ctx, lateFollowTimeout)
+	call.cancel = cancel
 	request := protocol.FollowRequest{Index: f.registry.Index, Wait: longPollWait}
 	go func() {
-		var r followResult
-		r.err = f.client.CallWatched(ctx, member, protocol.FollowPath, request, &r.reply, func() {
+		defer cancel()
+		r := followResult{call: call}
+		r.err = f.client.CallWatched(callCtx, member, protocol.FollowPath, request, &r.reply, func() {
 			call.mu.Lock()
 			defer call.mu.Unlock()
 			call.arrivedAt = f.opts.Clock.Now()
 		})
-		call.results <- r
+		select {
+		case f.results <- r:
+		case <-ctx.Done():
+		}
 	}()
 	return call
 }
 
-// fetchChanges requests the changes of the registry and returns them with the member that sent them. That is another one
-// than the followed member if a late reply arrives first. A reply that is arriving when the timeout passes is not given up:
-// the slow link may be that of the VM. Since it may also be that of the member, another one is asked meanwhile.
-func (f *Follower) fetchChanges(ctx context.Context, member ident.Address) (from ident.Address, reply protocol.FollowReply, err error) {
+// fetchChanges requests the changes of the registry. The reply is nil if a late one came first. A call that has no reply when its time is over is not given up, as the
+// VM's own link may be the slow one. It may also be that of the member, so another member is asked meanwhile.
+func (f *Follower) fetchChanges(ctx context.Context, member ident.Address) (*protocol.FollowReply, error) {
 	timeout := longPollWait + longPollMargin
 	if f.targetIndex > f.registry.Index+catchUpThreshold {
 		timeout = catchUpTimeout
@@ -227,97 +240,82 @@
 	call := f.startFollowCall(ctx, member)
 	expired := f.opts.Clock.After(timeout)
 	for {
-		var lateResults chan followResult
-		if f.late != nil {
-			lateResults = f.late.results
-		}
 		select {
-		case r := <-call.results:
-			call.cancel()
-			if r.err == nil && r.reply.Index > f.registry.Index {
-				f.dropLateCall()
+		case <-ctx.Done():
+			return nil, fault.Wrap(ctx.Err(), fault.Unreachable, "follow", string(member))
+		case r := <-f.results:
+			if r.call == call {
+				if r.err == nil && r.reply.Index > f.registry.Index {
+					f.dropLateCalls()
+				}
+				return &r.reply, r.err
 			}
-			return member, r.reply, r.err
-		case r := <-lateResults:
-			if from, useful := f.endLateCall(r); useful {
-				call.cancel()
-				return from, r.reply, nil
+			if f.endLateCall(r) {
+				call.cancel() // it asks for what this reply brought
+				return nil, nil
 			}
 		case <-expired:
 			if f.keepsWaiting(call) {
 				expired = f.opts.Clock.After(replySilence)
 				continue
 			}
-			return member, protocol.FollowReply{}, fault.New(fault.Unreachable, "follow", string(member), "no complete reply within %s", timeout)
+			return nil, fault.New(fault.Unreachable, "follow", string(member), "no complete reply within %s", timeout)
 		}
 	}
 }
 
-// keepsWaiting decides about a call whose time is over, and returns whether it is to be waited for: its reply is arriving, as
-// that of the late call is. Otherwise it becomes the late call or is given up.
+// keepsWaiting decides about a call whose time is over. It makes it a late call, in place of a silent one if there are too
+// many, or gives it up. It returns true if the call is to be waited for, as all replies are arriving.
 func (f *Follower) keepsWaiting(call *followCall) bool {
 	now := f.opts.Clock.Now()
-	if f.late != nil && !f.late.isArriving(now) {
-		f.dropLateCall()
-	}
-	switch {
-	case !call.isArriving(now):
-		call.cancel()
-	case f.late != nil:
-		return true
-	default:
-		f.late = call
+	if len(f.late) >= maxLateCalls {
+		if !call.isArriving(now) {
+			call.cancel()
+			return false
+		}
+		silent := slices.IndexFunc(f.late, func(c *followCall) bool { return !c.isArriving(now) })
+		if silent < 0 {
+			return true
+		}
+		f.late[silent].cancel()
+		f.late = slices.Delete(f.late, silent, silent+1)
 	}
+	f.late = append(f.late, call)
 	return false
 }
 
-// endLateCall ends the late call with its result, and returns its member and whether the reply brings the registry forward.
-func (f *Follower) endLateCall(r followResult) (from ident.Address, useful bool) {
-	from = f.late.member
-	f.dropLateCall()
-	useful = r.err == nil && !r.reply.Isolated && !r.reply.CatchingUp && r.reply.Index > f.registry.Index
-	f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": from, "index": r.reply.Index, "before": f.registry.Index, "useful": useful}).
-		Info("late call of a control member ended")
-	return from, useful
-}
-
-// followLateMember applies the reply to the late call if it has arrived, and follows its member. A search might find none
-// over the link that made the reply late.
-func (f *Follower) followLateMember() bool {
-	if f.late == nil {
-		return false
+// endLateCall takes the result of a late call, and returns whether it brought the registry forward. Its member is followed
+// then: a search for one might get no answer over the link that made the reply late.
+func (f *Follower) endLateCall(r followResult) bool {
+	i := slices.Index(f.late, r.call)
+	if i < 0 {
+		return false // given up
 	}
-	select {
-	case r := <-f.late.results:
-		from, useful := f.endLateCall(r)
-		if !useful {
-			return false
-		}
-		if err := f.applyReply(from, r.reply); err != nil {
-			f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": from}).WithError(err).Warn("could not apply a late reply")
-			return false
-		}
-		f.follow(from, r.reply)
-		return true
-	default:
+	f.late = slices.Delete(f.late, i, i+1)
+	before := f.registry.Index
+	err := r.err
+	useful := err == nil && !r.reply.Isolated && !r.reply.CatchingUp && r.reply.Index > before
+	if useful {
+		err = f.applyReply(r.call.member, r.reply)
+	}
+	log := f.opts.Log.WithFields(logrus.Fields{"event": "late_reply", "member": r.call.member, "index": r.reply.Index, "before": before, "useful": useful})
+	if err != nil {
+		log.WithError(err).Warn("late call of a control member failed")
 		return false
 	}
-}
-
-// dropLateCall gives up the late call, if there is one.
-func (f *Follower) dropLateCall() {
-	if f.late != nil {
-		f.late.cancel()
-		f.late = nil
+	log.Info("late reply of a control member arrived")
+	if useful {
+		f.follow(r.call.member, r.reply)
 	}
+	return useful
 }
 
-func (f *Follower) sendFollowRequest(ctx context.Context, member ident.Address, request protocol.FollowRequest, timeout time.Duration) (protocol.FollowReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var reply protocol.FollowReply
-	err := f.client.Call(ctx, member, protocol.FollowPath, request, &reply)
-	return reply, err
+// dropLateCalls gives up all late calls.
+func (f *Follower) dropLateCalls() {
+	for _, c := range f.late {
+		c.cancel()
+	}
+	f.late = nil
 }
 
 // knownAddresses returns the addresses of the last known members and of the seeds, without duplicates.
@@ -329,42 +327,57 @@
 	return slices.Compact(addresses)
 }
 
+// probeResult is a member's answer to a search.
+type probeResult struct {
+	search context.Context
+	member ident.Address
+	reply  protocol.FollowReply
+	err    error
+}
+
 // findMember queries all known addresses concurrently and follows the first member that answers, has contact with a
 // majority, has caught up and is not behind this VM; it returns false if there is none. A member that recently failed
 // a follow request is followed only if no other can be. It requests no state, because the state of all members at once
-// would saturate a small VM's link for longer than callers and the search itself wait.
+// would saturate a small VM's link for longer than callers and the search itself wait. Answers to earlier searches that
+// found no member count, too.
 func (f *Follower) findMember(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	type probeResult struct {
-		member ident.Address
-		reply  protocol.FollowReply
-		err    error
+	if f.search == nil {
+		f.search, f.endSearch = context.WithCancel(ctx)
 	}
-	addresses := f.knownAddresses()
-	results := make(chan probeResult, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			reply, err := f.sendFollowRequest(ctx, address, protocol.FollowRequest{StatusOnly: true}, probeTimeout)
-			results <- probeResult{address, reply, err}
-		}()
+	for _, address := range f.knownAddresses() {
+		f.startProbe(address)
 	}
+	ended := f.opts.Clock.After(probeTimeout)
 	var failedBefore *probeResult // the first member that could be followed, but failed recently
-	for range addresses {
-		result := <-results
-		if result.err != nil {
-			continue
-		}
-		f.setMembers(result.reply.Members)
-		if result.reply.Isolated || result.reply.CatchingUp || result.reply.Index < f.registry.Index {
-			continue
-		}
-		if !f.failedRecently(result.member) {
-			f.follow(result.member, result.reply)
-			return true
-		}
-		if failedBefore == nil {
-			failedBefore = &result
+	for waiting := true; waiting && f.openProbes+len(f.late) > 0; {
+		select {
+		case <-ctx.Done():
+			return false
+		case r := <-f.results:
+			if f.endLateCall(r) {
+				return true
+			}
+		case result := <-f.probes:
+			if result.search != f.search {
+				continue // another member was found meanwhile
+			}
+			f.openProbes--
+			if result.err != nil {
+				continue
+			}
+			f.setMembers(result.reply.Members)
+			if result.reply.Isolated || result.reply.CatchingUp || result.reply.Index < f.registry.Index {
+				continue
+			}
+			if !f.failedRecently(result.member) {
+				f.follow(result.member, result.reply)
+				return true
+			}
+			if failedBefore == nil {
+				failedBefore = &result
+			}
+		case <-ended:
+			waiting = false
 		}
 	}
 	if failedBefore == nil {
@@ -374,6 +387,25 @@
 	return true
 }
 
+// startProbe asks a member for its status, unless a late call is waiting for its answer: the probe would take the connection
+// that brings this answer, and opening another one over a saturated link takes seconds.
+func (f *Follower) startProbe(member ident.Address) {
+	if slices.ContainsFunc(f.late, func(c *followCall) bool { return c.member == member }) {
+		return
+	}
+	f.openProbes++
+	result := probeResult{search: f.search, member: member}
+	go func() {
+		ctx, cancel := context.WithTimeout(result.search, lateProbeTimeout)
+		defer cancel()
+		result.err = f.client.Call(ctx, member, protocol.FollowPath, protocol.FollowRequest{StatusOnly: true}, &result.reply)
+		select {
+		case f.probes <- result:
+		case <-result.search.Done():
+		}
+	}()
+}
+
 // failedRecently returns whether a follow request to the member failed within failedMemberPause.
 func (f *Follower) failedRecently(member ident.Address) bool {
 	failedAt, failed := f.lastFollowFailure[member]
@@ -382,6 +414,10 @@
 
 // follow makes a member that answered a search the followed one.
 func (f *Follower) follow(member ident.Address, status protocol.FollowReply) {
+	if f.search != nil {
+		f.endSearch()
+		f.search, f.openProbes = nil, 0
+	}
 	f.targetIndex = status.Index
 	f.setLeader(status.Leader)
 	f.setFollowedMember(member)
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -239,9 +240,9 @@
 	is.True(h.answeredReports > 0)
 }
 
-// startQueuedLink returns the address of a relay to a member with a queue of packets in each direction. A connection is
+// startQueuedLink returns the address of a relay to a member with a queue of packets in each direction, which delays them. A connection is
 // open once its first packet and the answer have passed the queues.
-func startQueuedLink(t *testing.T, member ident.Address, delay time.Duration) ident.Address {
+func startQueuedLink(t *testing.T, member ident.Address, delay *atomic.Int64) ident.Address {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -261,7 +262,7 @@
 }
 
 // relayQueued relays one connection of a queued link. Packets of a connection that is closed meanwhile are lost.
-func relayQueued(near net.Conn, member ident.Address, delay time.Duration) {
+func relayQueued(near net.Conn, member ident.Address, delay *atomic.Int64) {
 	defer func() { _ = near.Close() }()
 	far, err := net.Dial("tcp", string(member))
 	if err != nil {
@@ -269,7 +270,7 @@
 	}
 	defer func() { _ = far.Close() }()
 	closed := make(chan struct{}, 2)
-	openedAt := time.Now().Add(2 * delay)
+	openedAt := time.Now().Add(2 * time.Duration(delay.Load()))
 	for _, pair := range [][2]net.Conn{{near, far}, {far, near}} {
 		go func() {
 			defer func() { closed <- struct{}{} }()
@@ -283,7 +284,7 @@
 				if passAt.Before(openedAt) {
 					passAt = openedAt
 				}
-				time.AfterFunc(time.Until(passAt.Add(delay)), func() { _, _ = pair[1].Write(data[:n]) })
+				time.AfterFunc(time.Until(passAt.Add(time.Duration(delay.Load()))), func() { _, _ = pair[1].Write(data[:n]) })
 			}
 		}()
 	}
@@ -295,11 +296,12 @@
 func TestReportsArriveOverSaturatedLink(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
-	const delay = 700 * time.Millisecond
+	var delay atomic.Int64
+	delay.Store(int64(700 * time.Millisecond))
 	m := &fakeMember{}
 	h := &recordingHandler{}
 	f := New(Options{Clock: clock.System{}, Handler: h, Log: process.NewLogger(io.Discard, "info")})
-	f.leader = startQueuedLink(t, startMember(t, m), delay)
+	f.leader = startQueuedLink(t, startMember(t, m), &delay)
 	f.followed, f.members = f.leader, []ident.Address{f.leader}
 	ctx, cancel := context.WithTimeout(context.Background(), lateReportTimeout)
 	defer cancel()
@@ -389,6 +391,32 @@
 	waitForIndex(t, h, 8)
 }
 
+// Guards against a VM that gets no registry for as long as uploads saturate its link: no reply came within the time of a
+// request, nor within that of a search over new connections. In the deployment revontuli-alerts-grown this took up to 19 s.
+func TestFollowsOverSaturatedLink(t *testing.T) {
+	t.Parallel()
+	m := &fakeMember{index: 1}
+	var delay atomic.Int64
+	link := startQueuedLink(t, startMember(t, m), &delay)
+	h := startFollower(t, link)
+	waitForIndex(t, h, 1)
+	delay.Store(int64(1600 * time.Millisecond)) // in each direction
+	time.Sleep(time.Second)
+	for index := ident.Index(2); index <= 4; index++ {
+		m.set(index, false, false)
+		waitForIndex(t, h, index)
+	}
+}
+
+// Guards against a restarted VM that finds no member over a saturated link, as no search waits for its answers.
+func TestFindsMemberOverSaturatedLink(t *testing.T) {
+	t.Parallel()
+	m := &fakeMember{index: 1}
+	var delay atomic.Int64
+	delay.Store(int64(700 * time.Millisecond))
+	waitForIndex(t, startFollower(t, startQueuedLink(t, startMember(t, m), &delay)), 1)
+}
+
 // Guards against a late reply that is not used because no search gets an answer over the link that delays it.
 func TestLateReplyIsUsedWhileSearchesFail(t *testing.T) {
 	t.Parallel()
