--- a/entry/proxy/upload_test.go
+++ b/entry/proxy/upload_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"cuminfall.example/fleet/catalog"
 )
 
 // postBody posts a body with the given Content-Length to the fixture; -1 means unknown.
@@ -80,6 +82,7 @@
 	}
 	for _, length := range []int64{2 * halfBody, -1} {
 		fx := newFixture(t, 0, refuseFirst, refuseFirst)
+		fx.changeRoute("once", func(r *catalog.Route) { r.Timeout = 3 * time.Second }) // two attempts take over 400 ms on a starved VM
 		reader, writer := io.Pipe()
 		go func() {
 			_, _ = writer.Write(make([]byte, halfBody))
