--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -502,3 +502,17 @@
 	defer handler.mu.Unlock()
 	is.Equal(handler.indexes, []ident.Index{3, 4})
 }
+
+// Guards against a VM that searches on over a saturated link although a member just confirmed that the registry is current.
+func TestLateReplyWithoutChangesEndsSearch(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Clock: clock.System{}, Log: process.NewLogger(io.Discard, "info"), Handler: &recordingHandler{}})
+	call := &followCall{member: "late", cancel: func() {}}
+	f.late = []*followCall{call}
+	is.True(f.endLateCall(followResult{call: call}))
+	is.Equal(f.followedMember(), ident.Address("late"))
+	other := &followCall{member: "other", cancel: func() {}}
+	f.late = []*followCall{other}
+	is.True(!f.endLateCall(followResult{call: other})) // one is followed already
+	is.Equal(f.followedMember(), ident.Address("late"))
+}
