consensus: keep running sums of the log's bytes

isBacklogged added up the sizes of all entries that wait for the state machine at each step, thousands where it is slow, which slows the member down further. The log keeps the sum up to each entry in place of its size. All tests of the package, with its invariants, pass.

--- a/control/consensus/log.go
+++ b/control/consensus/log.go
@@ -31,7 +31,8 @@
 	baseLogTime     int64            // log time of the entry at baseIndex, in milliseconds
 	baseMembership  *wire.Membership // latest membership up to baseIndex
 	entries         []*wire.Entry
-	sizes           []int            // encoded sizes of entries, with their data, in bytes
+	ends            []int            // for each entry, the encoded size of the log up to it, with all data, in bytes
+	baseEnd         int              // the same for baseIndex
 	evictedIndex    uint64           // data entries up to it are evicted, or compacted
 	heldBytes       int              // size of the entries after evictedIndex
 	membership      *wire.Membership // latest membership in the log, committed or not
@@ -69,7 +70,7 @@
 	var out []*wire.Entry
 	for i := index + 1; i <= last && len(out) < maxEntries; i++ {
 		e := l.entries[i-l.baseIndex-1]
-		maxBytes -= l.sizes[i-l.baseIndex-1]
+		maxBytes -= l.bytesBetween(i-1, i)
 		if maxBytes < 0 && len(out) > 0 {
 			break
 		}
@@ -86,7 +87,7 @@
 
 // appendSized appends an entry of a known size. Entries that are evicted already must come first.
 func (l *entryLog) appendSized(e *wire.Entry, size int) {
-	l.entries, l.sizes = append(l.entries, e), append(l.sizes, size)
+	l.entries, l.ends = append(l.entries, e), append(l.ends, l.endAt(l.lastIndex())+size)
 	l.heldBytes += size
 	if e.Kind == wire.EntryKind_ENTRY_KIND_MEMBERS {
 		l.membership, l.membershipIndex = e.Members, e.Index
@@ -96,13 +97,21 @@
 	}
 }
 
+// endAt returns the size of the log up to an index that it reaches.
+func (l *entryLog) endAt(index uint64) int {
+	if index == l.baseIndex {
+		return l.baseEnd
+	}
+	return l.ends[index-l.baseIndex-1]
+}
+
 // bytesBetween returns the size of the entries after index and up to last.
 func (l *entryLog) bytesBetween(index, last uint64) int {
-	total := 0
-	for i := max(index, l.baseIndex) + 1; i <= min(last, l.lastIndex()); i++ {
-		total += l.sizes[i-l.baseIndex-1]
+	index, last = max(index, l.baseIndex), min(last, l.lastIndex())
+	if index >= last {
+		return 0
 	}
-	return total
+	return l.endAt(last) - l.endAt(index)
 }
 
 // evict drops the data of the oldest entries up to last until the others have at most maxBytes.
@@ -111,7 +120,7 @@
 		position := i - l.baseIndex - 1
 		l.entries[position] = Evict(l.entries[position])
 		l.evictedIndex = i
-		l.heldBytes -= l.sizes[position]
+		l.heldBytes -= l.bytesBetween(i-1, i)
 	}
 }
 
@@ -124,7 +133,7 @@
 	l.evictedIndex = min(l.evictedIndex, index-1)
 	position := index - l.baseIndex - 1
 	clear(l.entries[position:])
-	l.entries, l.sizes = l.entries[:position], l.sizes[:position]
+	l.entries, l.ends = l.entries[:position], l.ends[:position]
 	if l.membershipIndex < index {
 		return
 	}
@@ -152,7 +161,7 @@
 	l.heldBytes -= l.bytesBetween(l.evictedIndex, index)
 	l.evictedIndex = max(l.evictedIndex, index)
 	l.entries = append([]*wire.Entry(nil), l.entries[index-l.baseIndex:]...)
-	l.sizes = append([]int(nil), l.sizes[index-l.baseIndex:]...)
+	l.baseEnd, l.ends = l.endAt(index), append([]int(nil), l.ends[index-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm, l.baseLogTime = lastDropped.Index, lastDropped.Term, lastDropped.LogMs
 }
 
