ledger: answers to claimed requests are bounded in bytes

The answers together may have 32 MiB now. Beyond it, the oldest are kept without headers and body, as answers over 64 KiB are; a resend still learns that the request ran. The state of an earlier build is shortened when it is restored.

With the limit switched off, TestAnswersAreBoundedInBytes and TestAnswersOfEarlierBuildAreShortened fail; with it, the package passes.

--- a/control/ledger/claim.go
+++ b/control/ledger/claim.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/rpc"
@@ -40,6 +42,38 @@
 // maxTokenBytes limits the length of a token, because the ledger keeps tokens in memory.
 const maxTokenBytes = 256
 
+// MaxAnswerBytes limits the stored answers to claimed requests. Beyond it, the oldest are kept without headers and body.
+const MaxAnswerBytes = ident.Bytes(32 << 20)
+
+// answerBytes returns the size of the answer in an outcome, or 0 if the outcome has none.
+func answerBytes(o *rpc.Outcome) ident.Bytes {
+	if o == nil || o.GetTruncated() && len(o.GetHeaders()) == 0 && len(o.GetBody()) == 0 {
+		return 0
+	}
+	return ident.Bytes(proto.Size(o))
+}
+
+// trimAnswers drops the oldest answers beyond MaxAnswerBytes. It then makes room for further ones, so that the claims are
+// searched for the oldest answers once for many of them.
+func (l *Ledger) trimAnswers() {
+	if l.answerBytes <= MaxAnswerBytes {
+		return
+	}
+	for _, entry := range l.claimQueue {
+		c := l.claims[entry.key]
+		if c == nil || c.index != entry.index {
+			continue
+		}
+		if size := answerBytes(c.outcome); size > 0 {
+			// Replies may still refer to the outcome.
+			c.outcome = &rpc.Outcome{Status: c.outcome.GetStatus(), Truncated: true}
+			if l.answerBytes -= size; l.answerBytes <= MaxAnswerBytes*7/8 {
+				return
+			}
+		}
+	}
+}
+
 // abandonedToken is the token of an abandoned claim and the log time at which it was abandoned.
 type abandonedToken struct {
 	token   string
@@ -54,6 +88,7 @@
 		oldest := l.claimQueue[0]
 		l.claimQueue = l.claimQueue[1:]
 		if c := l.claims[oldest.key]; c != nil && c.index == oldest.index {
+			l.answerBytes -= answerBytes(c.outcome)
 			delete(l.claims, oldest.key)
 		}
 	}
@@ -105,6 +140,8 @@
 	}
 	if old.outcome == nil {
 		old.outcome = c.GetOutcome()
+		l.answerBytes += answerBytes(old.outcome)
+		l.trimAnswers()
 	}
 	return &rpc.CompleteReply{}
 }
--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -35,8 +35,9 @@
 	outcomeBytes    ident.Bytes      // length of the texts in outcomes
 	trimmedOutcomes int              // number of outcomes at the start of outcomeOrder whose texts are dropped or short
 
-	claims     map[claimKey]*claim
-	claimQueue []claimQueueEntry // all claims by log time, oldest first
+	claims      map[claimKey]*claim
+	claimQueue  []claimQueueEntry // all claims by log time, oldest first
+	answerBytes ident.Bytes       // size of the answers in claims
 
 	abandonedTokens map[string]bool  // tokens of claims that must not be granted any more
 	abandonedQueue  []abandonedToken // the same tokens by log time, oldest first
--- a/control/ledger/snapshot.go
+++ b/control/ledger/snapshot.go
@@ -138,7 +138,9 @@
 		c := &claim{request: r, index: ident.Index(w.GetIndex()), logTime: time.Duration(w.GetLogNs()), outcome: w.GetOutcome()}
 		l.claims[key] = c
 		l.claimQueue = append(l.claimQueue, claimQueueEntry{key, c.index, c.logTime})
+		l.answerBytes += answerBytes(c.outcome)
 	}
+	l.trimAnswers() // the state of an earlier build may have more
 	for _, w := range s.GetAbandoned() {
 		l.abandonedTokens[w.GetToken()] = true
 		l.abandonedQueue = append(l.abandonedQueue, abandonedToken{w.GetToken(), time.Duration(w.GetLogNs())})
