replica, scenario: what a slow disk does can be told from the logs

The tests of control/replica show the members' log if they fail. A failed scenario keeps the logs of its fleet and tells the slowest sync of a probe on the same disk.

--- a/control/replica/replica_test.go
+++ b/control/replica/replica_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -46,6 +45,7 @@
 	peers   []ident.Address
 	*Replica
 	machine *recordingMachine
+	log     logrus.FieldLogger
 	kept    *lastEntryMachine // replaces machine if it is set
 	delay   time.Duration     // of kept, for each entry
 	memory  ident.Bytes
@@ -58,8 +58,6 @@
 func (m *testMember) start() {
 	m.t.Helper()
 	m.machine = &recordingMachine{}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	var machine StateMachine = m.machine
 	snapshotEvery := 50
 	if m.kept != nil {
@@ -67,7 +65,7 @@
 		machine, snapshotEvery = m.kept, 0
 	}
 	r, err := Open(Options{Name: m.name, Address: m.address, Folder: m.folder, Peers: m.peers,
-		StateMachine: machine, Clock: clock.System{}, Log: log, SnapshotEvery: snapshotEvery, Memory: m.memory, DiskSize: m.disk})
+		StateMachine: machine, Clock: clock.System{}, Log: m.log, SnapshotEvery: snapshotEvery, Memory: m.memory, DiskSize: m.disk})
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -92,6 +90,7 @@
 func newGroup(t *testing.T, size int) []*testMember {
 	var group []*testMember
 	var addresses []ident.Address
+	log := newTestLog(t)
 	pid := os.Getpid()
 	for i := range size {
 		// A loopback host of this process keeps other tests from taking the port.
@@ -101,7 +100,8 @@
 		}
 		addresses = append(addresses, ident.Address(l.Addr().String()))
 		_ = l.Close()
-		group = append(group, &testMember{t: t, name: fmt.Sprintf("vm%d", i), folder: t.TempDir(), address: addresses[i]})
+		group = append(group, &testMember{t: t, name: fmt.Sprintf("vm%d", i), folder: t.TempDir(), address: addresses[i],
+			log: log.WithField("member", fmt.Sprintf("vm%d", i))})
 	}
 	if err := Init(group[0].folder, group[0].name, group[0].address, [][]byte{[]byte("first")}); err != nil {
 		t.Fatal(err)
@@ -287,24 +287,6 @@
 	is.NoErr(<-done)
 }
 
-// lockedBuffer is a buffer for concurrent use.
-type lockedBuffer struct {
-	mu sync.Mutex
-	strings.Builder
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Builder.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Builder.String()
-}
-
 // Guards against an audit trail that misses a join, or that shows the promotion of a learner as a join.
 func TestJoined(t *testing.T) {
 	is := is.New(t)
--- a/control/replica/work.go
+++ b/control/replica/work.go
@@ -19,6 +19,10 @@
 	snapshot *wire.Snapshot
 }
 
+// slowWriteTime is the time from which a write counts as slow. A leader whose writes take as long has almost lost its
+// followers.
+const slowWriteTime = 500 * time.Millisecond
+
 // diskRetryInterval is the pause before a failed write is tried again.
 const diskRetryInterval = 100 * time.Millisecond
 
@@ -147,9 +151,11 @@
 	if s.Index <= r.savedSnapshot {
 		return nil
 	}
+	startTime := r.opts.Clock.Now()
 	if err := r.journal.Compact(s); err != nil {
 		return err
 	}
+	r.logSlowWrite(startTime, logrus.Fields{"snapshot": s.Index})
 	r.savedSnapshot = s.Index
 	r.metrics.snapshots.Inc(1)
 	r.handleEvent(consensus.Compacted{At: r.nodeTime(), Snapshot: s})
@@ -166,11 +172,19 @@
 	}
 	r.savedSnapshot = max(r.savedSnapshot, s.Snapshot.GetIndex())
 	r.metrics.syncTime.Update(r.opts.Clock.Now().Sub(startTime))
+	r.logSlowWrite(startTime, logrus.Fields{"entries": len(s.Entries), "term": s.State.GetTerm()})
 	r.metrics.syncedEntries.Inc(int64(len(s.Entries)))
 	r.handleEvent(consensus.Saved{At: r.nodeTime(), Seq: s.Seq})
 	return nil
 }
 
+// logSlowWrite logs a write that took so long that the group may have chosen another leader because of it.
+func (r *Replica) logSlowWrite(startTime time.Time, fields logrus.Fields) {
+	if took := r.opts.Clock.Now().Sub(startTime); took >= slowWriteTime {
+		r.opts.Log.WithFields(fields).WithFields(logrus.Fields{"event": "slow_disk", "took": took.String()}).Warn("a write to the disk took long")
+	}
+}
+
 // runApply applies committed entries and installed snapshots to the state machine in the order of the log.
 func (r *Replica) runApply(ctx context.Context) {
 	a := applier{replica: r, membership: r.baseMembership}
--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -51,6 +51,7 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
 	}
+	go diskProbe.run(dir)
 	return m.Run()
 }
 
@@ -95,7 +96,12 @@
 				return err
 			}
 			e.Values["fleet"] = f
-			e.Defer(f.close)
+			e.Defer(func() {
+				f.close()
+				if t, ok := e.T().(interface{ Failed() bool }); ok && t.Failed() {
+					e.T().Log(f.keepLogs(), diskProbe.slowest())
+				}
+			})
 			e.Setenv("PATH", bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
 			e.Setenv("CUMINFALL_CONTROL", f.controlAddresses())
 			e.Setenv("CUMINFALL_OPERATOR", "admin")
