coordinator: a member that is catching up encodes no state for followers, and decodes commands outside its lock

At the start on a long log, each of hundreds of applied changes woke all followers, for which the whole registry was encoded; they do not use what a member sends that is catching up. All readers of the registry also waited while a command was decoded, 15 ms for 1,600 routes. All tests of the package pass.

--- a/control/coordinator/follow.go
+++ b/control/coordinator/follow.go
@@ -90,17 +90,12 @@
 		return nil, c.stoppingError()
 	default:
 	}
-	required, known := c.requiredIndex()
+	index, changed := c.opts.StateMachine.watch()
+	status := c.followStatus()
 	if q.StatusOnly {
-		reply := protocol.FollowReply{Index: c.opts.StateMachine.index()}
-		c.addStatus(&reply, required, known)
-		return reply, nil
+		return status, nil
 	}
-	reply, changed, err := c.opts.StateMachine.entriesAfter(q.Index)
-	if err != nil {
-		return nil, err
-	}
-	if q.Wait > 0 && reply.Index <= q.Index {
+	if q.Wait > 0 && index <= q.Index {
 		select {
 		case <-ctx.Done():
 			return nil, fault.Wrap(ctx.Err(), fault.Deadline, "follow", "")
@@ -109,13 +104,17 @@
 		case <-changed:
 		case <-c.opts.Clock.After(q.Wait):
 		}
-		required, known = c.requiredIndex()
-		if reply, _, err = c.opts.StateMachine.entriesAfter(q.Index); err != nil {
-			return nil, err
-		}
+		status = c.followStatus()
 	}
-	c.addStatus(&reply, required, known)
-	return reply, nil
+	if status.CatchingUp {
+		return status, nil
+	}
+	reply, err := c.opts.StateMachine.entriesAfter(q.Index)
+	if err != nil {
+		return nil, err
+	}
+	status.Index, status.State, status.Entries = reply.Index, reply.State, reply.Entries
+	return status, nil
 }
 
 func (c *Coordinator) stoppingError() error {
@@ -131,12 +130,15 @@
 	return protocol.FollowReply{Index: index}, err
 }
 
-// addStatus adds what this member knows about its group and its registry to a reply.
-func (c *Coordinator) addStatus(reply *protocol.FollowReply, required ident.Index, known bool) {
+// followStatus returns a reply with what this member knows about its group and its registry, without commands. Followers use
+// no commands of a member that is catching up, and encoding its state at each of them would delay it.
+func (c *Coordinator) followStatus() protocol.FollowReply {
+	required, known := c.requiredIndex()
 	s := c.opts.Replica.Status()
-	reply.Isolated, reply.Leader = s.Isolated, s.Leader
+	reply := protocol.FollowReply{Index: c.opts.StateMachine.index(), Isolated: s.Isolated, Leader: s.Leader}
 	reply.CatchingUp = !known || reply.Index < required
 	for _, m := range s.Members {
 		reply.Members = append(reply.Members, m.Address)
 	}
+	return reply
 }
--- a/control/coordinator/repeat_test.go
+++ b/control/coordinator/repeat_test.go
@@ -70,7 +70,7 @@
 		is.Equal(ident.Bytes(total), m.entryBytes)
 	}
 	is.Equal(m.base, ident.Index(40-len(m.entries)))
-	reply, _, err := m.entriesAfter(0)
+	reply, err := m.entriesAfter(0)
 	is.NoErr(err)
 	is.True(len(reply.State) > 0)
 }
--- a/control/coordinator/statemachine.go
+++ b/control/coordinator/statemachine.go
@@ -54,9 +54,9 @@
 
 // Apply implements replica.StateMachine.
 func (m *StateMachine) Apply(e replica.Entry) any {
+	c, err := registry.Decode(e.Data) // takes tens of milliseconds for a large catalog
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c, err := registry.Decode(e.Data)
 	var result registry.Result
 	if err != nil {
 		// All members fail in the same way on the same bytes, so their registries stay identical.
@@ -154,9 +154,8 @@
 	return m.cached.data, nil
 }
 
-// entriesAfter returns the commands after an index, or the whole state where that is needed or shorter, and a channel
-// that is closed at the next change.
-func (m *StateMachine) entriesAfter(index ident.Index) (protocol.FollowReply, <-chan struct{}, error) {
+// entriesAfter returns the commands after an index, or the whole state where that is needed or shorter.
+func (m *StateMachine) entriesAfter(index ident.Index) (protocol.FollowReply, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	reply := protocol.FollowReply{Index: m.registry.Index}
@@ -169,15 +168,22 @@
 	if index < m.base || pendingBytes > snapshotThreshold {
 		data, err := m.encodedState()
 		if err != nil {
-			return reply, nil, err
+			return reply, err
 		}
 		if index < m.base || pendingBytes > ident.Bytes(len(data)) {
 			reply.State = data
-			return reply, m.changed, nil
+			return reply, nil
 		}
 	}
 	reply.Entries = m.entries[i:]
-	return reply, m.changed, nil
+	return reply, nil
+}
+
+// watch returns the index of the last applied command and a channel that is closed at the next one.
+func (m *StateMachine) watch() (ident.Index, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registry.Index, m.changed
 }
 
 // index returns the index of the last applied command.
--- a/control/coordinator/statemachine_test.go
+++ b/control/coordinator/statemachine_test.go
@@ -32,7 +32,7 @@
 		m.Apply(replica.Entry{Index: ident.Index(i + 1), Data: c.Encode()})
 	}
 	is.Equal(m.registry.Version(), catalog.Version(changes))
-	reply, _, err := m.entriesAfter(0)
+	reply, err := m.entriesAfter(0)
 	is.NoErr(err)
 	is.Equal(len(reply.Entries), 0)
 	is.True(len(reply.State) > 0)
@@ -40,7 +40,7 @@
 	is.NoErr(fresh.Restore(reply.State))
 	is.Equal(fresh.Version(), m.registry.Version())
 	is.Equal(fresh.Index, m.registry.Index)
-	reply, _, err = m.entriesAfter(changes - 1)
+	reply, err = m.entriesAfter(changes - 1)
 	is.NoErr(err)
 	is.Equal(len(reply.Entries), 1) // the command is not longer than the state
 	is.Equal(len(reply.State), 0)
