--- a/fleet/registry/command.go
+++ b/fleet/registry/command.go
@@ -7,6 +7,7 @@
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/jsonscan"
 )
 
 // UpstreamID identifies an upstream. An upstream may have the same id after a restart.
@@ -78,11 +79,29 @@
 
 // Decode decodes a command from the replicated log.
 func Decode(data []byte) (Command, error) {
+	if change := scanChange(data); change != nil {
+		return Command{Change: change}, nil
+	}
 	var c Command
 	err := json.Unmarshal(data, &c)
 	return c, fault.Wrap(err, fault.Internal, "decode command", "")
 }
 
+// scanChange decodes a command with a change of the catalog, or returns nil if it is another one or unusual. A start on a long
+// log decodes hundreds of changes of thousands of routes each.
+func scanChange(data []byte) *catalog.Change {
+	var change *catalog.Change
+	s := jsonscan.New(data)
+	s.Struct([]string{"change"}, func(int) {
+		change = &catalog.Change{}
+		change.Scan(s)
+	})
+	if !s.End() {
+		return nil
+	}
+	return change
+}
+
 // Result is the outcome of a command. If the command was accepted, Code and Reason are empty.
 type Result struct {
 	Code   fault.Code `json:"code,omitempty"`
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -7,6 +7,7 @@
 	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
+	"cuminfall.example/fleet/jsonscan"
 )
 
 const (
@@ -79,15 +80,48 @@
 
 // Restore replaces the state by one that Encode returned.
 func (r *Registry) Restore(data []byte) error {
-	next := &Registry{}
-	if err := json.Unmarshal(data, next); err != nil {
-		return fault.Wrap(err, fault.Internal, "restore register", "")
+	next := scanRegistry(data)
+	if next == nil {
+		next = &Registry{}
+		if err := json.Unmarshal(data, next); err != nil {
+			return fault.Wrap(err, fault.Internal, "restore register", "")
+		}
 	}
 	next.rebuildIndexes()
 	*r = *next
 	return nil
 }
 
+// registryKeys are the keys of an encoded registry, in the order in which encoding/json writes them.
+var registryKeys = []string{"index", "catalog", "accepted", "drained", "upstreams", "gone", "vms", "since", "moved", "kept"}
+
+// scanRegistry decodes a registry, or returns nil if it is not as Encode writes it. The catalog is most of it, and VMs with a
+// fraction of a core decode it.
+func scanRegistry(data []byte) *Registry {
+	r := &Registry{}
+	others := []any{nil, nil, &r.AcceptedDigests, &r.Drained, &r.Upstreams, &r.Departed, &r.VMs, &r.DrainEnded, nil, &r.Kept}
+	s := jsonscan.New(data)
+	s.Struct(registryKeys, func(key int) {
+		switch key {
+		case 0:
+			r.Index = ident.Index(s.Uint(64))
+		case 1:
+			r.Catalog = &catalog.Catalog{}
+			r.Catalog.Scan(s)
+		case 8:
+			r.ChangedIndex = ident.Index(s.Uint(64))
+		default:
+			if json.Unmarshal(s.Raw(), others[key]) != nil {
+				s.Fail()
+			}
+		}
+	})
+	if !s.End() {
+		return nil
+	}
+	return r
+}
+
 // Apply applies the command at an index of the log. The result depends only on the state and the command, so that all
 // copies of the registry stay equal.
 func (r *Registry) Apply(index ident.Index, c Command) Result {
