scenario: a failed scenario tells the longest delays of the disk and of its own process

The failures of the scenarios on busy machines were put down to missing processor time, but nothing showed it. All connections of the fleets pass through the test process; a probe in it measures how late it wakes up, and how long syncs of the disk take.

--- a/scenario/main_test.go
+++ b/scenario/main_test.go
@@ -51,7 +51,8 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
 	}
-	go diskProbe.run(dir)
+	go probe.runSyncs(dir)
+	go probe.runSleeps()
 	return m.Run()
 }
 
@@ -99,7 +100,7 @@
 			e.Defer(func() {
 				f.close()
 				if t, ok := e.T().(interface{ Failed() bool }); ok && t.Failed() {
-					e.T().Log(f.keepLogs(), diskProbe.slowest())
+					e.T().Log(f.keepLogs(), &probe)
 				}
 			})
 			e.Setenv("PATH", bin+string(filepath.ListSeparator)+e.Getenv("PATH"))
--- a/scenario/trace_test.go
+++ b/scenario/trace_test.go
@@ -23,21 +23,55 @@
 			return err.Error()
 		}
 	}
-	return "the logs of the fleet are kept in " + dir + "; "
+	return "the logs of the fleet are kept in " + dir
 }
 
-// syncProbe measures the disk of the fleets by a small write and a sync at intervals. The members of a control group wait for
-// such syncs, too.
-type syncProbe struct {
+// delays are the longest delays of one kind.
+type delays struct {
 	mu      sync.Mutex
-	longest time.Duration
-	at      time.Time
+	longest []delay // at most keptDelays, longest first
 }
 
-var diskProbe syncProbe
+type delay struct {
+	took time.Duration
+	at   time.Time
+}
+
+const keptDelays = 5
+
+func (d *delays) add(startedAt time.Time, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := 0
+	for i < len(d.longest) && d.longest[i].took >= took {
+		i++
+	}
+	d.longest = append(d.longest[:i:i], append([]delay{{took, startedAt}}, d.longest[i:]...)...)
+	d.longest = d.longest[:min(len(d.longest), keptDelays)]
+}
+
+func (d *delays) String() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text := ""
+	for _, l := range d.longest {
+		text += fmt.Sprintf(" %s from %s on,", l.took.Round(time.Millisecond), l.at.Format("15:04:05.000"))
+	}
+	return text
+}
 
-// run probes the disk of a folder until the process ends.
-func (p *syncProbe) run(dir string) {
+// machineProbe measures what all fleets of this process depend on: the disk, for which the members of a control group wait,
+// and the processor time of this process, through which all their connections pass.
+type machineProbe struct{ syncs, sleeps delays }
+
+var probe machineProbe
+
+func (p *machineProbe) String() string {
+	return fmt.Sprintf("longest syncs of the disk:%v longest delays of this process:%v", &p.syncs, &p.sleeps)
+}
+
+// runSyncs syncs a small write to a file in a folder at intervals, until the process ends.
+func (p *machineProbe) runSyncs(dir string) {
 	file, err := os.Create(filepath.Join(dir, "probe"))
 	if err != nil {
 		return
@@ -51,17 +85,16 @@
 		if err := file.Sync(); err != nil {
 			return
 		}
-		p.mu.Lock()
-		if took := time.Since(startedAt); took > p.longest {
-			p.longest, p.at = took, startedAt
-		}
-		p.mu.Unlock()
+		p.syncs.add(startedAt, time.Since(startedAt))
 	}
 }
 
-// slowest returns when the slowest sync began and what it took.
-func (p *syncProbe) slowest() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return fmt.Sprintf("the slowest sync of a probe on the same disk took %s, from %s on", p.longest, p.at.Format("15:04:05.000"))
+// runSleeps measures how much longer than asked the process sleeps, until it ends.
+func (p *machineProbe) runSleeps() {
+	const pause = 10 * time.Millisecond
+	for {
+		startedAt := time.Now()
+		time.Sleep(pause)
+		p.sleeps.add(startedAt, time.Since(startedAt)-pause)
+	}
 }
