coordinator: a test that a member that is catching up sends no commands

TestRestartedMemberIsNotFollowedBeforeItHasCaughtUp now also checks that its replies carry neither state nor commands. On the code before it fails (140 bytes of commands), with it it passes.

--- a/control/coordinator/follow_test.go
+++ b/control/coordinator/follow_test.go
@@ -73,7 +73,13 @@
 			var client protocol.Client
 			follow := func(request protocol.FollowRequest) bool { // whether an entry VM would use the reply
 				var reply protocol.FollowReply
-				if client.Call(ctx, m.address, protocol.FollowPath, request, &reply) != nil || reply.Isolated || reply.CatchingUp {
+				if client.Call(ctx, m.address, protocol.FollowPath, request, &reply) != nil {
+					return false
+				}
+				if reply.CatchingUp {
+					is.Equal(len(reply.State)+len(reply.Entries), 0) // nobody uses them, and encoding them delays the member
+				}
+				if reply.Isolated || reply.CatchingUp {
 					return false
 				}
 				if reply.Index < leftAt {
