registry: the texts of routes in a test are not the platform's

The platform's words end in platform/; the routes of scan_test.go had its field names in the operator's text, which the registry does not read. The text has words of its own now.

--- a/fleet/registry/scan_test.go
+++ b/fleet/registry/scan_test.go
@@ -23,8 +23,8 @@
 		name, prefix := fmt.Sprintf("r-%07d", i), fmt.Sprintf("/lepu%d/ny95/", i)
 		ch.Routes[name] = catalog.Route{Name: name, Host: "host", Prefix: prefix, Idempotent: true, Timeout: 2500 * time.Millisecond, LatencyTarget: 600 * time.Millisecond,
 			MaxAttempts: 2, Priority: 1, Splits: []catalog.Split{{Service: "s", Weight: 100}}, Sticky: true, AllowedRegions: []ident.Region{},
-			Source: json.RawMessage(`{"attempts":2,"homeRegions":[],"host":"host","kind":"safe","pathPrefix":"` + prefix +
-				`","priority":1,"stickySessions":true,"targetLatency":"600ms","timeout":"2500ms","trafficSplit":[{"service":"s","weight":100}]}`)}
+			Source: json.RawMessage(`{"allowed":[],"attempts":2,"class":"safe","goal":"600ms","host":"host","object":true,"prefix":"` + prefix +
+				`","rank":1,"shares":[{"service":"s","weight":100}],"timeout":"2500ms"}`)}
 	}
 	return ch
 }
