review: a core machine that wakes undoes a newer evacuation

An order that takes an evacuation back waits at a frozen core machine. Another machine acknowledges it, and the zone is evacuated anew. When the frozen machine wakes, it has the old order committed, and requests reach the zone for as long as it is to be empty.

--- /dev/null
+++ b/review/standin-2/evac.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["evac"] = playEvac }
+
+// playEvac freezes a core machine while the operator takes an evacuation back. The operator moves on to another machine
+// after a second, as the pages say, and later evacuates the zone again. Then the machine wakes.
+func playEvac(d *deployment) int {
+	const zone = "bne-b"
+	var mu sync.Mutex
+	arrivals := map[string][]time.Time{} // of requests at endpoints, by zone
+	serve := func(e *endpoint, c net.Conn, r *http.Request) bool {
+		mu.Lock()
+		arrivals[e.zone] = append(arrivals[e.zone], time.Now())
+		mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		writeHead(c, r, 2)
+		_, err := io.WriteString(c, "ok")
+		return err == nil
+	}
+	var endpoints []*endpoint
+	for i := range 6 {
+		endpoints = append(endpoints, &endpoint{service: "catalogue", zone: []string{"bne-a", zone}[i%2], serve: serve})
+	}
+	if !d.begin(map[string]route{"/stock/": {"safe", "catalogue", "2500ms"}}, endpoints...) {
+		return failed
+	}
+	end := make(chan struct{})
+	var callers sync.WaitGroup
+	var served int
+	for i := range 8 {
+		callers.Go(func() {
+			var c *connection
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+				if c == nil {
+					var err error
+					if c, err = dial(d.edges[(i+n)%2]); err != nil {
+						c = nil
+						continue
+					}
+				}
+				a := c.send(request{id: fmt.Sprintf("stock-%d-%d", i, n), method: http.MethodGet, path: fmt.Sprintf("/stock/%d", n%40), object: fmt.Sprint(n % 40), limit: 4 * time.Second})
+				if a.err != nil {
+					_ = c.Close()
+					c = nil
+				}
+				mu.Lock()
+				if a.status == http.StatusOK {
+					served++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	// order sends an order to one machine after the other. A call that has no answer after a second stays open, in case
+	// that its answer comes late, and the operator moves on.
+	patient := &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	order := func(path string, first int) (ok bool) {
+		for i, start := first, time.Now(); time.Since(start) < 4*time.Second; i++ {
+			m := d.cores[i%len(d.cores)]
+			answered := make(chan int, 1)
+			d.rec.log("the operator sends %s to %s", path, m.name)
+			go func() {
+				status, text := d.call(patient, m, path, "", nil)
+				d.rec.log("%s answers %s with %d %s", m.name, path, status, text)
+				answered <- status
+			}()
+			select {
+			case status := <-answered:
+				if status == http.StatusOK {
+					return true
+				}
+			case <-time.After(time.Second):
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		return false
+	}
+	time.Sleep(3 * time.Second)
+	begin, finish := "/evacuations/"+zone+"/begin", "/evacuations/"+zone+"/finish"
+	ok := order(begin, 1)
+	time.Sleep(3 * time.Second)
+	frozen := d.cores[4]
+	if d.trouble {
+		d.rec.log("%s freezes", frozen.name)
+		frozen.signal(syscall.SIGSTOP)
+	}
+	frozenAt := time.Now()
+	time.Sleep(300 * time.Millisecond)
+	ok = order(finish, 4) && ok
+	time.Sleep(700 * time.Millisecond)
+	ok = order(begin, 1) && ok
+	evacuatedAt := time.Now()
+	time.Sleep(time.Until(frozenAt.Add(4 * time.Second)))
+	if d.trouble {
+		d.rec.log("%s wakes, %.1f s later", frozen.name, time.Since(frozenAt).Seconds())
+		frozen.signal(syscall.SIGCONT)
+	}
+	if !ok {
+		d.rec.log("could not run: an order was not acknowledged")
+		return failed
+	}
+	// From then on the edge machines are in touch, and the evacuation binds.
+	from := frozenAt.Add(4 * time.Second).Add(2 * contactWindow)
+	if bound := evacuatedAt.Add(evacuationDeadline); bound.After(from) {
+		from = bound
+	}
+	time.Sleep(time.Until(from.Add(8 * time.Second)))
+	close(end)
+	callers.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	late, elsewhere := 0, 0
+	for z, times := range arrivals {
+		for _, at := range times {
+			switch {
+			case !at.After(from):
+			case z == zone:
+				late++
+			default:
+				elsewhere++
+			}
+		}
+	}
+	d.rec.verdict("later than %.1f s after %s was acknowledged and not taken back, %d requests reached endpoints in %s, and %d others elsewhere; %d requests were served in all",
+		from.Sub(evacuatedAt).Seconds(), begin, late, zone, elsewhere, served)
+	switch {
+	case late > 0:
+		return broken
+	case elsewhere == 0:
+		return failed
+	}
+	return held
+}
