--- a/review/standin-2/evac.go
+++ b/review/standin-2/evac.go
@@ -22,6 +22,7 @@
 		mu.Lock()
 		arrivals[e.zone] = append(arrivals[e.zone], time.Now())
 		mu.Unlock()
+		d.rec.log("%s in %s runs %s", e.id, e.zone, r.Header.Get("Request-Id"))
 		time.Sleep(20 * time.Millisecond)
 		writeHead(c, r, 2)
 		_, err := io.WriteString(c, "ok")
@@ -37,23 +38,26 @@
 	end := make(chan struct{})
 	var callers sync.WaitGroup
 	var served int
-	for i := range 8 {
+	for i := range 6 {
 		callers.Go(func() {
 			var c *connection
 			for n := 0; ; n++ {
 				select {
 				case <-end:
 					return
-				case <-time.After(100 * time.Millisecond):
+				case <-time.After(150 * time.Millisecond):
 				}
+				m := d.edges[i%2]
 				if c == nil {
 					var err error
-					if c, err = dial(d.edges[(i+n)%2]); err != nil {
+					if c, err = dial(m); err != nil {
 						c = nil
 						continue
 					}
 				}
-				a := c.send(request{id: fmt.Sprintf("stock-%d-%d", i, n), method: http.MethodGet, path: fmt.Sprintf("/stock/%d", n%40), object: fmt.Sprint(n % 40), limit: 4 * time.Second})
+				id := fmt.Sprintf("stock-%d-%d", i, n)
+				a := c.send(request{id: id, method: http.MethodGet, path: fmt.Sprintf("/stock/%d", n%40), object: fmt.Sprint(n % 40), limit: 4 * time.Second})
+				d.rec.log("%s, sent to %s, is answered: %s", id, m.name, a)
 				if a.err != nil {
 					_ = c.Close()
 					c = nil
