--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -217,11 +217,15 @@
 
 // call sends one call to the control plane of a machine. The status is 0 without an answer.
 func (d *deployment) call(client *http.Client, m *machine, path, base string, body []byte) (int, string) {
+	return d.callAt(client, fmt.Sprintf("%s:%d", m.ip, controlPort), path, base, body)
+}
+
+func (d *deployment) callAt(client *http.Client, address, path, base string, body []byte) (int, string) {
 	var reader io.Reader
 	if body != nil {
 		reader = bytes.NewReader(body)
 	}
-	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", m.ip, controlPort, path), reader)
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+path, reader)
 	if err != nil {
 		return 0, err.Error()
 	}
--- a/review/standin-2/evac.go
+++ b/review/standin-2/evac.go
@@ -70,25 +70,25 @@
 			}
 		})
 	}
-	// order sends an order to one machine after the other. A call that has no answer after a second stays open, in case
-	// that its answer comes late, and the operator moves on.
-	patient := &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	// The operator keeps a connection to each machine that it has called. It ends a call that has no answer after a second.
+	var links []*link
+	for i, m := range d.cores {
+		k, err := d.newLink(i, m)
+		if err != nil {
+			d.rec.log("could not run: %v", err)
+			return failed
+		}
+		links = append(links, k)
+	}
+	operator := &http.Client{Timeout: time.Second}
 	order := func(path string, first int) (ok bool) {
 		for i, start := first, time.Now(); time.Since(start) < 4*time.Second; i++ {
 			m := d.cores[i%len(d.cores)]
-			answered := make(chan int, 1)
 			d.rec.log("the operator sends %s to %s", path, m.name)
-			go func() {
-				status, text := d.call(patient, m, path, "", nil)
-				d.rec.log("%s answers %s with %d %s", m.name, path, status, text)
-				answered <- status
-			}()
-			select {
-			case status := <-answered:
-				if status == http.StatusOK {
-					return true
-				}
-			case <-time.After(time.Second):
+			status, text := d.callAt(operator, links[i%len(links)].address, path, "", nil)
+			d.rec.log("the operator has %d %s", status, text)
+			if status == http.StatusOK {
+				return true
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -96,12 +96,13 @@
 	}
 	time.Sleep(3 * time.Second)
 	begin, finish := "/evacuations/"+zone+"/begin", "/evacuations/"+zone+"/finish"
-	ok := order(begin, 1)
+	ok := order(begin, 4)
 	time.Sleep(3 * time.Second)
-	frozen := d.cores[4]
+	frozen, release := d.cores[4], func() {}
 	if d.trouble {
 		d.rec.log("%s freezes", frozen.name)
 		frozen.signal(syscall.SIGSTOP)
+		release = links[4].hold()
 	}
 	frozenAt := time.Now()
 	time.Sleep(300 * time.Millisecond)
@@ -113,6 +114,7 @@
 	if d.trouble {
 		d.rec.log("%s wakes, %.1f s later", frozen.name, time.Since(frozenAt).Seconds())
 		frozen.signal(syscall.SIGCONT)
+		release()
 	}
 	if !ok {
 		d.rec.log("could not run: an order was not acknowledged")
