--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -259,12 +259,18 @@
 	kind, service, timeout string
 }
 
+func routeName(prefix string) string { return "r" + strings.Trim(prefix, "/") }
+
+func (r route) encode(prefix string) map[string]any {
+	return map[string]any{"host": host, "pathPrefix": prefix, "kind": r.kind, "timeout": r.timeout, "targetLatency": "800ms",
+		"priority": 1, "service": r.service, "attempts": 2, "allowAnonymous": false, "stickySessions": true, "homeRegions": []string{}}
+}
+
 // configuration returns the first configuration, with one tenant.
 func configuration(routes map[string]route) []byte {
 	encoded, services := map[string]any{}, map[string]any{}
 	for prefix, r := range routes {
-		encoded["r"+strings.Trim(prefix, "/")] = map[string]any{"host": host, "pathPrefix": prefix, "kind": r.kind, "timeout": r.timeout, "targetLatency": "800ms",
-			"priority": 1, "service": r.service, "attempts": 2, "allowAnonymous": false, "stickySessions": true, "homeRegions": []string{}}
+		encoded[routeName(prefix)] = r.encode(prefix)
 		services[r.service] = map[string]any{"healthCheckPath": "/health", "connectionLimit": 390, "protocol": "h1", "tls": false, "coldStart": "3s", "coldPerS": 3.7}
 	}
 	text, _ := json.Marshal(map[string]any{"version": "00000001", "routes": encoded, "services": services,
