shutdown: a stopping VM takes only requests that end before it does

Cause: a request was accepted if its expected latency, a smoothed mean times 1.5 or 3, fitted into the time until the final answers. No mean tells how long an upstream takes this time: one request in eight that takes 2.7 s leaves the mean at 0.6 s.

Now a request is accepted only if its own deadline, the earlier one of its route's timeout and its caller's limit, comes before the final answers. What the deadline does not bound is refused before its body is read and before it waits for an allowance, with 503 and the shortest Retry-After. README's door needs no change: its stop waits for requests in progress.

TestDecide and TestAcceptedLateRequestsAreAnswered asserted the old estimate; what takes their place asserts the stronger promise for any latency up to the deadline. TestRequestsThroughoutAPlannedStopAreAnswered sends a time limit that fits into its grace period; its checks are the same.

--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -122,7 +122,9 @@
 		// The caller's timeout started before the request was delayed on this VM's link.
 		c.deadline = c.startedAt.Add(t - min(linkDelay, time.Duration(maxLinkDelayShare*float64(t))))
 	}
-	c.limitToStop()
+	if refused := c.refuseUnpromised(p.opts.Clock.Now()); refused != nil {
+		return refused
+	}
 	// The body is read first: a request counts against the rate from the time at which it can be sent.
 	if refused := c.readBody(table.Catalog.Limits); refused != nil {
 		return refused
@@ -308,7 +310,7 @@
 	if decision := admission.Decide(request); !decision.Admit {
 		return choice, &refusal{status: http.StatusServiceUnavailable, reason: decision.Reason, retryAfter: decision.RetryAfter, choice: &choice}
 	}
-	if refused := c.refuseLate(now, choice.ExpectedLatency); refused != nil {
+	if refused := c.refuseUnpromised(now); refused != nil {
 		return choice, refused
 	}
 	p.balancer.RequestSent(query.LeaseNow, choice.Upstream.ID)
--- a/entry/proxy/stop.go
+++ b/entry/proxy/stop.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"cuminfall.example/entry/shutdown"
 	"cuminfall.example/fleet/listener"
 )
@@ -21,28 +23,21 @@
 
 func (s *stop) begun() bool { return s.beganAt.Load() != nil }
 
-// limitToStop moves the request's deadline before the final answers of a graceful shutdown that has begun.
-func (c *call) limitToStop() {
-	p := c.proxy
-	if beganAt := p.stop.beganAt.Load(); beganAt != nil {
-		if end := beganAt.Add(shutdown.FinalAnswers(p.opts.GracePeriod)); end.Before(c.deadline) {
-			c.deadline = end
-		}
-	}
-}
-
-// refuseLate refuses a request that a graceful shutdown may not let end at its upstream.
-func (c *call) refuseLate(now time.Time, expectedLatency time.Duration) *refusal {
+// refuseUnpromised refuses a request that a graceful shutdown may have to break off at its upstream, before the request is
+// sent.
+func (c *call) refuseUnpromised(now time.Time) *refusal {
 	p := c.proxy
 	beganAt := p.stop.beganAt.Load()
 	if beganAt == nil {
 		return nil
 	}
-	decision := shutdown.Decide(p.opts.GracePeriod, shutdown.Request{Elapsed: now.Sub(*beganAt), ExpectedLatency: expectedLatency, Streamed: c.upload != nil})
+	request := shutdown.Request{Elapsed: now.Sub(*beganAt), Remaining: c.deadline.Sub(now)}
+	decision := shutdown.Decide(p.opts.GracePeriod, request)
 	if decision.Accept {
 		return nil
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: decision.Reason, retryAfter: minRetryAfter}
+	return &refusal{status: http.StatusServiceUnavailable, reason: decision.Reason, retryAfter: minRetryAfter,
+		details: logrus.Fields{"stopping": request.Elapsed.String()}}
 }
 
 // refuseAtEnd returns the final answer to a request that no upstream can have run.
--- a/entry/proxy/stop_test.go
+++ b/entry/proxy/stop_test.go
@@ -266,7 +266,7 @@
 			id := fmt.Sprintf("%s-%d", strings.ReplaceAll(k.name, " ", "-"), part)
 			c := s.dial()
 			write := func(text string) { _, _ = io.WriteString(c, text) } // what follows shows whether it failed
-			write(fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: 20000\r\nAuthorization: key\r\n", k.path, id, id))
+			write(fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: 1500\r\nAuthorization: key\r\n", k.path, id, id))
 			callers.Go(func() {
 				defer func() { _ = c.Close() }()
 				<-begin
@@ -306,6 +306,109 @@
 	}
 }
 
+// Guards against requests that a stopping VM takes and breaks off because their upstream is at work for longer than most are:
+// all are answered by their upstreams, or refused at once without a run.
+func TestStoppingVMTakesOnlyWhatItsUpstreamsCanEnd(t *testing.T) {
+	const grace, timeout, interval = 3 * time.Second, 2 * time.Second, 40 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		every int // one request in so many is slow
+	}{{"seldom slow", 8}, {"often slow", 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			reached := map[string]bool{} // by request ID
+			s := newStoppable(t, timeout, 300*time.Millisecond, grace, func(w http.ResponseWriter, r *http.Request) {
+				mu.Lock()
+				reached[r.Header.Get("X-Id")] = true
+				mu.Unlock()
+				latency := 150 * time.Millisecond
+				if strings.HasPrefix(r.Header.Get("X-Id"), "slow") {
+					latency = timeout * 4 / 5
+				}
+				time.Sleep(latency)
+				answerOK(w, r)
+			})
+			for range 12 { // the proxy learns the usual latency
+				warm := s.dial()
+				is.New(t).NoErr(warm.send())
+				_, err := warm.receive()
+				is.New(t).NoErr(err)
+				_ = warm.Close()
+			}
+			var callers sync.WaitGroup
+			statuses := map[int]int{}
+			send := func(id string, sentAfter time.Duration) {
+				conn, err := net.Dial("tcp", string(s.addresses.Callers))
+				if err != nil {
+					return // no callers are accepted any more
+				}
+				caller := &stopCaller{conn, bufio.NewReader(conn)}
+				callers.Go(func() {
+					defer func() { _ = caller.Close() }()
+					_, _ = fmt.Fprintf(caller, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Left: 20000\r\nAuthorization: key\r\nContent-Length: 2\r\n\r\nab", id)
+					response, err := caller.receive()
+					mu.Lock()
+					defer mu.Unlock()
+					if err != nil {
+						if reached[id] {
+							t.Errorf("%s, sent %s after the signal, was passed on and got no answer: %v", id, sentAfter, err)
+						}
+						return
+					}
+					statuses[response.StatusCode]++
+					if reached[id] != (response.StatusCode == http.StatusOK) || response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable {
+						t.Errorf("%s, sent %s after the signal, reached the upstream: %v, and got status %d", id, sentAfter, reached[id], response.StatusCode)
+					}
+				})
+			}
+			stoppedAt := time.Now()
+			s.stop()
+			for i := 0; time.Since(stoppedAt) < grace; i++ {
+				id := fmt.Sprint("fast-", i)
+				if i%c.every == 0 {
+					id = fmt.Sprint("slow-", i)
+				}
+				send(id, time.Since(stoppedAt))
+				time.Sleep(interval)
+			}
+			callers.Wait()
+			is.New(t).NoErr(<-s.stopped)
+			t.Log(statuses)
+			is.New(t).True(statuses[http.StatusOK] > 0)
+			is.New(t).True(statuses[http.StatusServiceUnavailable] > 0)
+		})
+	}
+}
+
+// Guards against a stopping VM that reads the whole body of a request which it refuses anyway.
+func TestStoppingVMRefusesBeforeTheBody(t *testing.T) {
+	is := is.New(t)
+	const grace = 2 * time.Second
+	s := newStoppable(t, 10*time.Second, 300*time.Millisecond, grace, answerOK)
+	for _, length := range []int{2, 64 << 10} {
+		c := s.dial()
+		is.NoErr(c.send())
+		_, err := c.receive()
+		is.NoErr(err)
+		defer func() {
+			_, err := fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Id: id\r\nX-Left: 20000\r\nAuthorization: key\r\nContent-Length: %d\r\n\r\na", length)
+			is.NoErr(err)
+			sentAt := time.Now()
+			response, err := c.receive()
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.True(response.Close)
+			is.True(response.Header.Get("Retry-After") != "")
+			is.True(time.Since(sentAt) < grace/2)
+		}()
+	}
+	s.stop()
+	for s.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // lateClock is the clock of a process that gets no processor time for a while when a timer of at least d expires.
 type lateClock struct {
 	clock.System
--- a/entry/shutdown/shutdown_test.go
+++ b/entry/shutdown/shutdown_test.go
@@ -1,6 +1,7 @@
 package shutdown
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
@@ -9,8 +10,8 @@
 
 const ms = time.Millisecond
 
-// Guards against requests that are accepted late in the grace period and cut at its end, and against refusals of requests
-// that would have been answered.
+// Guards against requests that are accepted in the grace period and cut at its end, and against refusals of requests that
+// will be answered.
 func TestDecide(t *testing.T) {
 	const grace = 6 * time.Second
 	cases := []struct {
@@ -18,14 +19,13 @@
 		r      Request
 		accept bool
 	}{
-		{"an early request", Request{Elapsed: time.Second, ExpectedLatency: 1500 * ms}, true},
-		{"an early request that may not be answered", Request{Elapsed: 2500 * ms, ExpectedLatency: 2500 * ms}, false},
-		{"an early upload", Request{Elapsed: time.Second, ExpectedLatency: 1500 * ms, Streamed: true}, true},
-		{"a late request", Request{Elapsed: 3 * time.Second, ExpectedLatency: time.Second}, false},
-		{"a short late request", Request{Elapsed: 3 * time.Second, ExpectedLatency: 900 * ms}, true},
-		{"a short request shortly before the end", Request{Elapsed: 5700 * ms, ExpectedLatency: 10 * ms}, true},
-		{"a late upload", Request{Elapsed: 3 * time.Second, ExpectedLatency: 10 * ms, Streamed: true}, false},
-		{"a request during the final answers", Request{Elapsed: 5800 * ms}, false},
+		{"an early request", Request{Elapsed: time.Second, Remaining: 3 * time.Second}, true},
+		{"an early request that may not be answered", Request{Elapsed: time.Second, Remaining: 5 * time.Second}, false},
+		{"a request that may take longer than the whole stop", Request{Remaining: 10 * time.Second}, false},
+		{"a late request", Request{Elapsed: 3 * time.Second, Remaining: 3 * time.Second}, false},
+		{"a late request with a short deadline", Request{Elapsed: 3 * time.Second, Remaining: 2500 * ms}, true},
+		{"a request that may take until the final answers", Request{Elapsed: 5700 * ms, Remaining: 100 * ms}, true},
+		{"a request during the final answers", Request{Elapsed: 5801 * ms}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -37,30 +37,37 @@
 	}
 }
 
-// Guards against a late request that is cut at the end of the grace period although it took at most three times as long
-// as expected.
-func TestAcceptedLateRequestsAreAnswered(t *testing.T) {
-	is := is.New(t)
+// Guards against requests that a stopping VM accepts, at any time of the stop, and breaks off because their upstream takes
+// longer than most do, however rarely.
+func TestAcceptedRequestsEndBeforeTheFinalAnswers(t *testing.T) {
+	r := rand.New(rand.NewSource(1))
 	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second} {
-		for elapsed := min(grace/2, maxLateAfter); elapsed < grace; elapsed += 50 * ms {
-			for latency := time.Duration(0); latency < grace; latency += 50 * ms {
-				if Decide(grace, Request{Elapsed: elapsed, ExpectedLatency: latency}).Accept {
-					is.True(elapsed+3*latency <= FinalAnswers(grace))
-				}
+		accepted := 0
+		for range 100_000 {
+			sentAt := time.Duration(r.Int63n(int64(grace)))
+			timeout := time.Duration(r.Int63n(int64(grace)))
+			latency := time.Duration(r.Int63n(int64(timeout) + 1))
+			if r.Intn(1000) > 0 {
+				latency = min(latency, 300*ms) // nearly all upstreams are fast
+			}
+			if !Decide(grace, Request{Elapsed: sentAt, Remaining: timeout}).Accept {
+				continue
+			}
+			accepted++
+			if sentAt+latency > FinalAnswers(grace) {
+				t.Fatalf("grace %s: accepted at %s with a timeout of %s, and still at work at the final answers", grace, sentAt, timeout)
 			}
 		}
+		is.New(t).True(accepted > 0)
 	}
 }
 
-// Guards against a late request that is accepted like an early one because the VM noticed the signal late.
-func TestVMThatNoticesItsStopLate(t *testing.T) {
+// Guards against a VM that refuses requests although their deadline leaves it time to answer them.
+func TestRequestsThatEndInTimeAreAccepted(t *testing.T) {
 	is := is.New(t)
-	const grace, noticedAfter = 10 * time.Second, 100 * ms
-	for sent := maxLateAfter; sent < grace; sent += 10 * ms {
-		for latency := time.Duration(0); latency < grace; latency += 50 * ms {
-			if Decide(grace, Request{Elapsed: sent - noticedAfter, ExpectedLatency: latency}).Accept {
-				is.True(sent-noticedAfter+3*latency <= FinalAnswers(grace))
-			}
+	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second} {
+		for elapsed := time.Duration(0); elapsed < FinalAnswers(grace); elapsed += 50 * ms {
+			is.True(Decide(grace, Request{Elapsed: elapsed, Remaining: FinalAnswers(grace) - elapsed}).Accept)
 		}
 	}
 }
