ratelimit: a VM that stops keeps the allowances that its callers ask

Cause: the leader set all allowances of a VM to 0 with the report that it stops. Callers keep an answer of the directory for some seconds and go on to ask it; their requests found no allowance, here and after each report. Now a stopping VM keeps what its callers use and wait for, with the usual room; only the shares that nobody asks of it go to others at once. The sum of all allowances stays below the limit as before, as it is reckoned from the same table.

TestLeavingVMKeepsWhatItsCallersAsk failed before: the allowance was 0.

--- a/control/ratelimit/ratelimit.go
+++ b/control/ratelimit/ratelimit.go
@@ -228,10 +228,8 @@
 
 // updateAllowance sets a holder's allowance of one workspace.
 func (l *Allocator) updateAllowance(now time.Time, h *holder, a *allowance, b *budget, up bool) {
-	target, free := 0, l.freeRequests(now, b)
-	if up {
-		target = l.targetAllowance(b, a, free)
-	}
+	free := l.freeRequests(now, b)
+	target := l.targetAllowance(b, a, free, up)
 	switch {
 	case target > a.granted:
 		// Requests that wait now take precedence over room for future ones.
@@ -254,10 +252,11 @@
 	a.committed = max(a.committed, target)
 }
 
-// targetAllowance returns the allowance that fits a holder's demand, with room for more requests.
-func (l *Allocator) targetAllowance(b *budget, a *allowance, free int) int {
+// targetAllowance returns the allowance that fits a holder's demand, with room for more requests. Callers go on to ask a
+// VM that leaves until they learn of it, so that it keeps what they ask, without a share for others.
+func (l *Allocator) targetAllowance(b *budget, a *allowance, free int, up bool) int {
 	idle := 0
-	if float64(free) > reserveFraction*float64(b.maxRequests) {
+	if up && float64(free) > reserveFraction*float64(b.maxRequests) {
 		equalPart := idleFraction * float64(b.maxRequests) / float64(max(len(l.holders)+len(l.unreported), 1))
 		idle = int(equalPart)
 		if a.position < equalPart-float64(idle) {
--- a/control/ratelimit/ratelimit_test.go
+++ b/control/ratelimit/ratelimit_test.go
@@ -550,3 +550,27 @@
 	is.True(g.maxAdmitted <= maxRequests)
 	is.True(float64(g.admitted.Used(g.now, tolerance.Window)) >= 0.9*float64(maxRequests))
 }
+
+// Guards against a VM that refuses the requests of its last callers because its allowances ended with its stop.
+func TestLeavingVMKeepsWhatItsCallersAsk(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	l := Allocator{Tolerance: tolerance}
+	l.BeginTerm(now, nil)
+	c := catalogWithRate(20)
+	c.Workspaces["idle"] = catalog.Workspace{Name: "idle", Rate: 20, Burst: 20}
+	l.SetCatalog(c)
+	report := func(sequence uint64, up bool, used, unmet int) protocol.Allowances {
+		changed, ok := l.Report(now, &protocol.Report{VM: registry.VM{Name: "a", Incarnation: 1, Up: up}, Sequence: sequence, AppliedSequence: sequence - 1, Full: sequence == 1,
+			RateUsage: protocol.RateUsageByWorkspace{"w": {Allowance: max(used, 1), Used: used, UnmetRequests: unmet}}})
+		is.True(ok)
+		return changed
+	}
+	serving := report(1, true, 5, 0)
+	is.True(serving["w"] > 5)
+	is.True(serving["idle"] > 0)
+	leaving := report(2, false, 5, 3)
+	is.True(leaving["w"] >= 8)               // its callers' requests, those that wait included
+	is.Equal(leaving["idle"], 0)             // other VMs get the share that nobody asks of it
+	is.Equal(report(3, false, 0, 0)["w"], 0) // nor what its callers no longer ask
+}
