coordinator: an order about a zone gets a position before it counts

Cause: evacuation orders carry no version. A member took what was committed when it handled the order for the time at which the order was sent. That holds only if the order waited nowhere before: not in a frozen VM, on a link, in the operator's host, at the door of a busy member. Nothing in the request tells how long it waited.

Now an order without a position is not carried out. The check for a suspension within the member is gone, as the position covers it.

--- a/control/coordinator/drain.go
+++ b/control/coordinator/drain.go
@@ -5,30 +5,33 @@
 
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/registry"
 )
 
-// Drain takes a failure domain out of use or back into use. Operators give no version with such an order and repeat it at
-// other members, so it carries what was committed when it came: an order that this member holds while it is suspended must
-// not undo a later one.
-func (c *Coordinator) Drain(ctx context.Context, d registry.Drain) (registry.Result, error) {
-	receivedAt := c.opts.Clock.Now()
+// OrderPosition returns the position in the log that an order without a version of its own must carry, for which its operator
+// asks first. An order may wait anywhere on its way, for any time: in the operator's host, on a link, at the door of a member
+// that is suspended or busy. Only an operator that still waits for an answer gets the position and sends the order with it, so
+// that the order is known to be newer than all that was committed up to there.
+func (c *Coordinator) OrderPosition(ctx context.Context) (ident.Index, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	for {
 		committed, err := c.committedIndex(ctx)
 		if err == nil {
-			d.Before = committed + 1
-			break
+			return committed + 1, nil
 		}
 		if clock.Sleep(ctx, c.opts.Clock, commandRetryInterval) != nil {
-			return registry.Result{}, err
+			return 0, err
 		}
 	}
-	if c.opts.Clock.Now().Sub(receivedAt) > commandTimeout { // timers do not count a suspension of the VM
-		err := fault.New(fault.Deadline, "drain", string(c.opts.Address), "this member was suspended while it had the order")
-		err.Execution = fault.NotExecuted
-		return registry.Result{}, err
+}
+
+// Drain takes a failure domain out of use or back into use. The order must carry an OrderPosition: it does not undo another
+// one about the domain that was committed from there on.
+func (c *Coordinator) Drain(ctx context.Context, d registry.Drain) (registry.Result, error) {
+	if d.Before == 0 {
+		return registry.Result{}, fault.New(fault.Invalid, "drain", string(d.Domain), "the order carries no position in the log")
 	}
 	return c.Submit(ctx, registry.Command{Drain: &d})
 }
