forward: an answer that is reset during its upload is not complete

Callers got a part of an answer as a whole one (MIXED): an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the host reports the failure of a connection once, to the next write or read. While an upload is sent, the write took it, and the read saw the end of the connection like after a close, which ends a body without a length. The same holds for a body that is written as a whole before the answer is read, and for a connection that times out.

Now each write keeps its error under a lock that it holds during the system call, and a read that sees the end looks for it there. A first write that fails with EPIPE is the exception: the upstream had ended its side before, so that the answer is whole.

--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -47,6 +49,9 @@
 	// response's head was awaited, or -1 if none were unacknowledged.
 	lastAcked int64
 
+	failMu  sync.Mutex // held during a write, so that its failure is known when a read returns after it
+	failure error      // of the first write that failed
+
 	peek     func(fd uintptr) bool // allocated once per connection, because every reuse calls it
 	peekErr  error
 	peekSize int
@@ -136,6 +141,9 @@
 		if !c.inBody {
 			c.headRemaining -= n
 		}
+		if n == 0 && err == io.EOF {
+			err = c.cause(err)
+		}
 		if n > 0 || !isTimeout(err) {
 			return n, err
 		}
@@ -159,9 +167,12 @@
 		if err := c.tcp.SetWriteDeadline(clock.Deadline(c.clock(), c.progressDeadline())); err != nil {
 			return sent, err
 		}
-		n, err := c.tcp.Write(b[sent:])
+		n, err := c.writeSome(b[sent:])
 		c.written.Add(int64(n))
 		sent += n
+		if err == nil && sent < len(b) {
+			continue
+		}
 		if err == nil || !isTimeout(err) {
 			return sent, err
 		}
@@ -176,6 +187,47 @@
 	}
 }
 
+// writeSome writes a part of b. If the connection has failed, it keeps the cause for the reader.
+func (c *conn) writeSome(b []byte) (n int, err error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	waitErr := c.rawConn.Write(func(fd uintptr) bool {
+		c.failMu.Lock()
+		defer c.failMu.Unlock()
+		for {
+			if n, err = syscall.Write(int(fd), b); err != syscall.EINTR {
+				break
+			}
+		}
+		if err == syscall.EAGAIN {
+			n, err = 0, nil
+			return false
+		}
+		n = max(n, 0)
+		if err != nil && c.failure == nil {
+			c.failure = err
+		}
+		return true
+	})
+	if err == nil {
+		err = waitErr
+	}
+	return n, err
+}
+
+// cause returns the error with which the connection failed, or eof if the upstream ended it. The host reports the failure of
+// a connection once, to a write or a read, whichever comes first; the other one sees the end of the connection, as after a
+// regular close. A first write that fails with EPIPE tells that the upstream had ended its side before the connection failed.
+func (c *conn) cause(eof error) error {
+	c.failMu.Lock()
+	defer c.failMu.Unlock()
+	if c.failure == nil || c.failure == syscall.EPIPE {
+		return eof
+	}
+	return c.failure
+}
+
 // progressDeadline returns the time by which a read or write must make progress before the
 // connection is checked.
 func (c *conn) progressDeadline() time.Time {
