forward: heads, framing and trailers have one meaning or are none

Callers got answers of endpoints in trouble as answers: with a status below 100 or above 599, before another head or alone, with a field whose name holds a blank, and with a body that was not the endpoint's, as "Content-Length : 2" or "Transfer-Encoding : chunked" counted as no framing at all.

Cause: net/http reads heads leniently. It takes any three characters that strconv reads for a status, a status below 200 for an interim answer, names with blanks as other names; it drops a length beside chunks, and the coding of an HTTP/1.0 answer.

Now entry/forward reads answers itself, with textproto for lines and fields, httpguts for names and values and httputil for chunks: three digits from 100 to 599, tokens as names, one framing, a trailer under the same rules and within 4 KiB. Folded lines and bare line feeds have one meaning and are read as before.

--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -42,8 +42,9 @@
 	exchange      *Exchange
 	deadline      time.Time
 	written       atomic.Int64
-	headRemaining int  // bytes of the head that may still be read
+	headRemaining int  // bytes of the head or trailer that may still be read
 	inBody        bool // the response's body is being read
+	inTrailer     bool // of its body, the trailer is being read
 	answering     bool // bytes were received
 	// Number of sent bytes that the upstream's host had acknowledged at the last check while the
 	// response's head was awaited, or -1 if none were unacknowledged.
@@ -109,7 +110,7 @@
 
 func (c *conn) startExchange(x *Exchange, deadline time.Time) {
 	c.exchange, c.deadline, c.headRemaining, c.inBody = x, deadline, maxHeadBytes, false
-	c.lastAcked, c.answering = -1, false
+	c.inTrailer, c.lastAcked, c.answering = false, -1, false
 	c.written.Store(0)
 }
 
@@ -124,9 +125,9 @@
 
 // Read implements io.Reader for the response, up to the exchange's deadline.
 func (c *conn) Read(b []byte) (int, error) {
-	if !c.inBody {
+	if !c.inBody || c.inTrailer {
 		if c.headRemaining <= 0 {
-			return 0, errors.New("response head is too long")
+			return 0, errors.New("response head or trailer is too long")
 		}
 		if len(b) > c.headRemaining {
 			b = b[:c.headRemaining]
@@ -138,7 +139,7 @@
 		}
 		n, err := c.tcp.Read(b)
 		c.answering = c.answering || n > 0
-		if !c.inBody {
+		if !c.inBody || c.inTrailer {
 			c.headRemaining -= n
 		}
 		if n == 0 && err == io.EOF {
@@ -228,6 +229,9 @@
 	return c.failure
 }
 
+// limitFields limits the bytes of the trailer that is read next.
+func (c *conn) limitFields(n int) { c.headRemaining, c.inTrailer = n, true }
+
 // progressDeadline returns the time by which a read or write must make progress before the
 // connection is checked.
 func (c *conn) progressDeadline() time.Time {
--- a/entry/forward/exchange.go
+++ b/entry/forward/exchange.go
@@ -27,7 +27,7 @@
 	request           *Request
 	ctx               context.Context
 	stopCancelHook    func() bool
-	response          *http.Response
+	response          *answer
 	cause             atomic.Uint32 // the first Reason for which the exchange ended; 0 while it goes on
 	uploadDone        chan struct{} // closed when the upload goroutine returns; nil without a streamed body
 	requestSent       atomic.Bool   // the whole request was written
@@ -238,9 +238,8 @@
 // readResponseHead reads heads until that of the final response, skipping interim responses.
 func (x *Exchange) readResponseHead() error {
 	start := x.conn.now()
-	requestInfo := &http.Request{Method: x.request.Method}
 	for range 8 {
-		response, err := http.ReadResponse(x.conn.reader, requestInfo)
+		response, err := readAnswer(x.conn, x.request.Method)
 		if err != nil {
 			return x.failWith(err)
 		}
@@ -256,13 +255,13 @@
 			continue
 		}
 		if x.request.OnHead != nil {
-			x.request.OnHead(response.StatusCode, response.Header)
+			x.request.OnHead(response.status, response.header)
 		}
-		if response.StatusCode >= 200 {
+		if response.status >= 200 {
 			x.Elapsed = x.conn.now().Sub(start)
 			return x.acceptResponse(response)
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		if response.status == http.StatusSwitchingProtocols {
 			break
 		}
 	}
@@ -271,12 +270,12 @@
 
 // isOwnResponse reports whether a response may belong to this request. A final response without an ID may be a late copy
 // of an earlier one. It is accepted only on a new connection, or where the upstream need not send IDs and has sent none.
-func (x *Exchange) isOwnResponse(response *http.Response) bool {
+func (x *Exchange) isOwnResponse(response *answer) bool {
 	format := x.wireFormat()
-	if !format.matchesRequest(response.Header, x.request, x.id) {
+	if !format.matchesRequest(response.header, x.request, x.id) {
 		return false
 	}
-	if response.StatusCode < 200 || format.carriesID(response.Header) || !x.conn.reused {
+	if response.status < 200 || format.carriesID(response.header) || !x.conn.reused {
 		return true
 	}
 	return format.RequestIDHeader == "" && !x.conn.echoes
@@ -288,42 +287,39 @@
 // skipResponse reads a late duplicate response to an earlier request, which may precede the
 // expected response on the same connection. It does so only where upstreams echo the caller's
 // request ID, because other IDs do not identify such duplicates on every upstream.
-func (x *Exchange) skipResponse(other *http.Response) bool {
-	chunked := len(other.TransferEncoding) > 0
-	if x.wireFormat().RequestIDHeader == "" || other.ContentLength < 0 && !chunked {
+func (x *Exchange) skipResponse(other *answer) bool {
+	if x.wireFormat().RequestIDHeader == "" || other.length < 0 && !other.chunked {
 		return false
 	}
 	x.conn.inBody = true
-	n, err := io.Copy(io.Discard, io.LimitReader(other.Body, maxSkippedBytes))
+	err := other.discard(maxSkippedBytes)
 	x.conn.inBody = false
-	return err == nil && n < maxSkippedBytes
+	return err == nil
 }
 
 func (x *Exchange) wireFormat() *WireFormat { return x.conn.pool.client.wireFormat }
 
-func (x *Exchange) acceptResponse(response *http.Response) error {
-	x.response, x.Status, x.Length = response, response.StatusCode, response.ContentLength
-	chunked := len(response.TransferEncoding) > 0
-	bodiless := x.request.Method == http.MethodHead || x.Status == http.StatusNoContent || x.Status == http.StatusNotModified
+func (x *Exchange) acceptResponse(response *answer) error {
+	x.response, x.Status, x.Length = response, response.status, response.length
 	switch {
-	case bodiless:
+	case response.bodiless(x.request.Method):
 		x.complete = true
-	case x.Length < 0 && !chunked && !x.wireFormat().AllowUnframed:
+	case x.Length < 0 && !response.chunked && !x.wireFormat().AllowUnframed:
 		// Without a length or chunks, the end of the body looks the same as a crash of the
 		// upstream.
 		return x.failWith(errors.New("response has neither a Content-Length nor chunked encoding"))
 	case x.Length == 0:
 		x.complete = true
 	}
-	x.conn.readKeepAlive(response.Header)
-	hasID := x.wireFormat().carriesID(response.Header)
+	x.conn.readKeepAlive(response.header)
+	hasID := x.wireFormat().carriesID(response.header)
 	x.identified = hasID || !x.conn.reused && x.wireFormat().requestID(x.request) == ""
 	x.conn.echoes = x.conn.echoes || hasID
 	// A copy of this response could be taken for the next request's.
 	x.conn.suspect = x.conn.suspect || !hasID && (x.wireFormat().RequestIDHeader != "" || PromisesNotExecuted(x.Status))
-	RemoveHopByHop(response.Header)
-	delete(response.Header, AttemptIDHeader)
-	x.Header = response.Header
+	RemoveHopByHop(response.header)
+	delete(response.header, AttemptIDHeader)
+	x.Header = response.header
 	x.conn.inBody = true
 	return nil
 }
@@ -338,7 +334,7 @@
 
 // Unframed reports whether the response's body ends with its connection.
 func (x *Exchange) Unframed() bool {
-	return !x.complete && x.Length < 0 && len(x.response.TransferEncoding) == 0
+	return !x.complete && x.Length < 0 && !x.response.chunked
 }
 
 // Uploading reports whether part of the request's body has not been sent yet.
@@ -349,7 +345,7 @@
 	if x.complete {
 		return 0, io.EOF
 	}
-	n, err := x.response.Body.Read(b)
+	n, err := x.response.body.Read(b)
 	if n > 0 {
 		if throttleErr := x.throttle(n, true); throttleErr != nil {
 			return 0, x.failWith(throttleErr)
@@ -377,7 +373,7 @@
 }
 
 // Trailer returns the trailer fields of a complete response.
-func (x *Exchange) Trailer() http.Header { return x.response.Trailer }
+func (x *Exchange) Trailer() http.Header { return x.response.trailer }
 
 // Close ends the exchange, and returns after the last read of Request.Stream. It keeps the
 // connection for reuse only if the whole request was sent and the whole response was read, so that
@@ -388,7 +384,7 @@
 	}
 	x.closed = true
 	contextLive := x.stopCancelHook()
-	reusable := contextLive && x.complete && x.requestSent.Load() && x.cause.Load() == 0 && !x.response.Close && !x.conn.suspect
+	reusable := contextLive && x.complete && x.requestSent.Load() && x.cause.Load() == 0 && !x.response.closes && !x.conn.suspect
 	if !reusable {
 		x.cause.CompareAndSwap(0, uint32(Broken))
 		x.conn.closeSocket()
--- a/entry/forward/fuzz_test.go
+++ b/entry/forward/fuzz_test.go
@@ -89,7 +89,7 @@
 				t.Errorf("response to the request %q is taken for that to %q", id, "a")
 			}
 		}
-		framed := x.Length >= 0 || len(x.response.TransferEncoding) > 0
+		framed := x.Length >= 0 || x.response.chunked
 		if x.Length >= 0 && body != "" && int64(len(body)) != x.Length {
 			t.Errorf("body of %d bytes, its head says %d", len(body), x.Length)
 		}
--- a/entry/forward/identity.go
+++ b/entry/forward/identity.go
@@ -52,11 +52,11 @@
 
 // containsStatusLine reports whether the reason phrase or the value of a header field contains the status line of a
 // response, as where an upstream writes one response into the head of another.
-func containsStatusLine(r *http.Response) bool {
-	if hasStatusLine(r.Status) {
+func containsStatusLine(r *answer) bool {
+	if hasStatusLine(r.reason) {
 		return true
 	}
-	for _, values := range r.Header {
+	for _, values := range r.header {
 		for _, v := range values {
 			if hasStatusLine(v) {
 				return true
