process: calls between the fleet's processes check their replies

A part of a protobuf message is a message with fewer fields. The same address may be that of another process by now.

Now the transports of all clients fail for a reply without a length or chunks, unless its compression tells its end, for a status outside 100 to 599 and for names with a blank. The fleet's servers send a length with each reply.

--- a/cuminfall/client/client.go
+++ b/cuminfall/client/client.go
@@ -9,6 +9,7 @@
 
 	"cuminfall.example/fleet/clock"
 	"cuminfall.example/fleet/fault"
+	"cuminfall.example/fleet/process"
 	"cuminfall.example/fleet/rpc"
 )
 
@@ -48,7 +49,7 @@
 
 // Connect returns a TwirpClient for the control members at the given addresses. It opens no connection yet.
 func Connect(c clock.Clock, addresses []string) ControlGroup {
-	return &TwirpClient{clock: c, addresses: addresses, http: &http.Client{Timeout: callTimeout}}
+	return &TwirpClient{clock: c, addresses: addresses, http: &http.Client{Transport: process.CheckedTransport(http.DefaultTransport), Timeout: callTimeout}}
 }
 
 func (r *TwirpClient) memberClient(address string) rpc.Operations {
--- a/fleet/process/readbudget.go
+++ b/fleet/process/readbudget.go
@@ -27,9 +27,9 @@
 // Held returns the bytes that count against the budget.
 func (b *ReadBudget) Held() int64 { return b.held.Load() }
 
-// Transport returns a transport for calls whose replies count against the budget until their bodies are closed.
+// Transport returns a CheckedTransport for calls whose replies count against the budget until their bodies are closed.
 func (b *ReadBudget) Transport(inner http.RoundTripper) http.RoundTripper {
-	return &budgetTransport{inner, b}
+	return &budgetTransport{CheckedTransport(inner), b}
 }
 
 type budgetReader struct {
