proxy, platform: callers leave a stopping VM sooner

A stopping VM refuses what it may not be able to end, and callers learn of the stop only with their next answer of the directory, or with a refusal.

Connections without a request are closed at once while a request with the longest timeout would be refused on them; before, they were closed after a second without a request, and the next request on them met a refusal. While all routes' requests are accepted, the second stays, as no request crosses a close then.

--- a/entry/proxy/run.go
+++ b/entry/proxy/run.go
@@ -23,7 +23,7 @@
 	// idleCloseInterval is the time between two checks for idle callers' connections during the drain period.
 	idleCloseInterval = 100 * time.Millisecond
 	// drainIdleSweeps is the number of consecutive checks without a request after which a connection is closed during
-	// the drain period.
+	// the drain period, while requests on it are accepted.
 	drainIdleSweeps = 10
 	// quietShare is the part of the time between the drain period and the end of the grace period in which to wait until
 	// no callers connect any more.
@@ -101,7 +101,11 @@
 		if elapsed >= latestClose || elapsed >= p.opts.DrainPeriod && callers.Quiet() {
 			break
 		}
-		callers.CloseIdle(p.opts.Clock.Now(), drainIdleSweeps)
+		sweeps := 1
+		if shutdown.KeepsIdle(p.opts.GracePeriod, elapsed, p.longestTimeout()) {
+			sweeps = drainIdleSweeps
+		}
+		callers.CloseIdle(p.opts.Clock.Now(), sweeps)
 		if clock.Sleep(ctx, p.opts.Clock, idleCloseInterval) != nil {
 			return
 		}
@@ -124,3 +128,16 @@
 		p.opts.Log.WithField("event", "leave").WithError(err).Warn("requests were still in progress at the end of the grace period")
 	}
 }
+
+// longestTimeout returns the longest timeout of a route.
+func (p *Proxy) longestTimeout() (longest time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.table == nil {
+		return 0
+	}
+	for _, route := range p.table.Catalog.Routes {
+		longest = max(longest, route.Timeout)
+	}
+	return longest
+}
--- a/entry/shutdown/shutdown.go
+++ b/entry/shutdown/shutdown.go
@@ -31,3 +31,9 @@
 	}
 	return Decision{Accept: true}
 }
+
+// KeepsIdle reports whether callers' connections without a request are kept for a while, so that no request crosses their
+// close. That holds as long as requests with the longest timeout are accepted on them.
+func KeepsIdle(grace, elapsed, longestTimeout time.Duration) bool {
+	return Decide(grace, Request{Elapsed: elapsed, Remaining: longestTimeout}).Accept
+}
--- a/entry/shutdown/shutdown_test.go
+++ b/entry/shutdown/shutdown_test.go
@@ -71,3 +71,13 @@
 		}
 	}
 }
+
+// Guards against a stopping VM that keeps connections open only to refuse the next request on them.
+func TestKeepsIdle(t *testing.T) {
+	is := is.New(t)
+	const grace = 6 * time.Second
+	is.True(KeepsIdle(grace, 0, 3*time.Second))
+	is.True(KeepsIdle(grace, 2800*ms, 3*time.Second))
+	is.True(!KeepsIdle(grace, 2801*ms, 3*time.Second))
+	is.True(!KeepsIdle(grace, 0, 6*time.Second))
+}
