platform: a departure names the run that ends

An upstream that had started again under its ID got no request for as long as its new run lasted: a departure of the run before came late.

Cause: a departure without the start of a run removed the run that the registry knew when a member handled it, and the registry then took that run for departed. The platform's upstreams send departures without a body.

Now a member answers such a departure with a redirect to the run that is registered, as for orders about a zone; only an upstream that still waits follows, and a departure of an earlier run removes no later one.

TestLateDepartureDoesNotRemoveLaterRun (real processes) failed before: the later run got no requests.

--- a/control/coordinator/drain.go
+++ b/control/coordinator/drain.go
@@ -27,6 +27,34 @@
 	}
 }
 
+// RunOf returns the start of the registered run of an upstream, in Unix milliseconds, after all that was committed when it was
+// called. Known is false if the upstream is not registered.
+func (c *Coordinator) RunOf(ctx context.Context, id registry.UpstreamID) (startedAt int64, known bool, err error) {
+	position, err := c.OrderPosition(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	for {
+		index, changed := c.opts.StateMachine.watch()
+		if index+1 >= position {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return 0, false, fault.Wrap(ctx.Err(), fault.Deadline, "leave", string(id))
+		}
+	}
+	c.opts.StateMachine.view(func(r *registry.Registry) {
+		var u registry.Upstream
+		u, known = r.Upstreams[id]
+		startedAt = u.StartedAt
+	})
+	return startedAt, known, nil
+}
+
 // Drain takes a failure domain out of use or back into use. The order must carry an OrderPosition: it does not undo another
 // one about the domain that was committed from there on.
 func (c *Coordinator) Drain(ctx context.Context, d registry.Drain) (registry.Result, error) {
@@ -36,24 +64,24 @@
 	return c.Submit(ctx, registry.Command{Drain: &d})
 }
 
-// drainQueue lets a leader replicate one drain at a time, so that each is checked against the one before.
-type drainQueue chan struct{}
+// orderQueue lets a leader replicate one order about a subject at a time, so that each is checked against the one before.
+type orderQueue chan struct{}
 
-func newDrainQueue() drainQueue { return make(drainQueue, 1) }
+func newOrderQueue() orderQueue { return make(orderQueue, 1) }
 
-// begin returns a function that must be called after a drain was replicated. It returns nil if there is nothing to
+// beginDrain returns a function that must be called after a drain was replicated. It returns nil if there is nothing to
 // replicate: the domain is as ordered, or an opposite order was committed after this one had come.
-func (q drainQueue) begin(ctx context.Context, m *StateMachine, d registry.Drain) (done func(), err error) {
+func (c *Coordinator) beginDrain(ctx context.Context, d registry.Drain) (done func(), err error) {
 	select {
-	case q <- struct{}{}:
+	case c.drains <- struct{}{}:
 	case <-ctx.Done():
 		return nil, fault.Wrap(ctx.Err(), fault.Deadline, "drain", string(d.Domain))
 	}
-	drained, index := m.drainState(d.Domain)
+	drained, index := c.opts.StateMachine.drainState(d.Domain)
 	if d.Before == 0 || index < d.Before {
-		return func() { <-q }, nil
+		return func() { <-c.drains }, nil
 	}
-	<-q
+	<-c.drains
 	if drained == d.Active {
 		return nil, nil
 	}
