coordinator: reports of a VM's runs are put in order

A report of a VM's earlier run that waited anywhere, and came after the first one of the later run in a leader's term, took that run's place: incarnations have no order. All further reports of the run that serves were refused until another leader was elected, and it had no allowances. Now a reply carries a serial that the next report echoes. A run that is not the known or registered one counts once it echoes a reply that is newer than the last report of the known run, as only one run of a VM exists at a time; until then the leader asks for a full report, which costs a restarted VM one round trip. Reports of earlier builds have no echo and are handled as before.

A VM's last report, which says that it leaves, was compared with the registry while the report before it was still being registered, and changed nothing: the VM was named to callers until its next report. Now the reports of one VM are registered one at a time, and one that was overtaken meanwhile is refused.

TestReportOfEarlierRunDoesNotReplaceLaterRun and TestReportsOfOneVMAreRegisteredInOrder failed before.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -60,7 +60,7 @@
 	opts     Options
 	client   protocol.Client
 	floor    registryFloor
-	drains   drainQueue
+	drains   orderQueue
 	keeping  singleflight.Group
 	stopping chan struct{} // closed when followers must use another member
 
@@ -77,6 +77,8 @@
 	usableUpdated  time.Time
 	lastReports    map[ident.VM]time.Time            // by VMs to this leader
 	reportOrder    map[ident.VM]reportOrder          // of the same reports
+	replySerial    uint64                            // of the last reply to a report
+	registering    map[ident.VM]orderQueue           // held while a VM is registered
 	downSince      map[ident.VM]time.Time            // when this member learned that a VM is down
 	lastSeen       map[registry.UpstreamID]time.Time // by this member, or by others while it is the leader
 	unforwarded    map[registry.UpstreamID]time.Time // last seen by this member, not yet forwarded to the leader
@@ -84,7 +86,7 @@
 
 // New returns a Coordinator with the given options. It does nothing until Serve or Run is called.
 func New(o Options) *Coordinator {
-	return &Coordinator{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, drains: newDrainQueue(), stopping: make(chan struct{}), lastReports: map[ident.VM]time.Time{}, downSince: map[ident.VM]time.Time{},
+	return &Coordinator{opts: o, client: protocol.Client{LocalAddr: o.LocalAddr}, drains: newOrderQueue(), registering: map[ident.VM]orderQueue{}, stopping: make(chan struct{}), lastReports: map[ident.VM]time.Time{}, downSince: map[ident.VM]time.Time{},
 		lastSeen: map[registry.UpstreamID]time.Time{}, unforwarded: map[registry.UpstreamID]time.Time{}}
 }
 
@@ -144,7 +146,7 @@
 		data = c.minimize(cmd, data)
 	}
 	if err == nil && cmd.Drain != nil {
-		done, err := c.drains.begin(ctx, c.opts.StateMachine, *cmd.Drain)
+		done, err := c.beginDrain(ctx, *cmd.Drain)
 		if done == nil {
 			return protocol.ProposeReply{}, err
 		}
@@ -335,10 +337,16 @@
 		return nil, fault.Wrap(err, fault.Invalid, "report", "")
 	}
 	c.beginTerm(term)
-	if c.isOvertaken(&q) {
-		return nil, fault.New(fault.Conflict, "report", string(q.VM.Name), "report %d is older than one that was received before", q.Sequence)
-	}
-	if err := c.registerVM(ctx, term, q.VM); err != nil {
+	class, serial := c.orderReport(term, &q)
+	switch class {
+	case overtakenReport:
+		return nil, overtakenError(&q)
+	case unconfirmedReport:
+		c.opts.Log.Event(logrus.InfoLevel, "unconfirmed", logrus.Fields{"event": "unconfirmed", "vm": q.VM.Name, "incarnation": q.VM.Incarnation, "sequence": q.Sequence, "term": term},
+			"report of another run of a VM: it counts once the run has confirmed that it is the later one")
+		return protocol.ReportReply{Term: term, Serial: serial, FullReportRequired: true}, nil
+	}
+	if err := c.registerReported(ctx, term, &q); err != nil {
 		return nil, err
 	}
 	observed, err := c.exchangeFacts(ctx, term, q.Observed)
@@ -352,7 +360,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastReports[q.VM.Name] = now
-	reply := protocol.ReportReply{Term: term, Lease: ratelimit.LeaseDuration, Observed: observed}
+	reply := protocol.ReportReply{Term: term, Serial: serial, Lease: ratelimit.LeaseDuration, Observed: observed}
 	if q.AppliedTerm != term && !q.Full {
 		reply.FullReportRequired = true
 		return reply, nil
@@ -391,7 +399,7 @@
 	c.observations = observation.Board{}
 	c.rateAllocator.Tolerance = c.opts.RateTolerance
 	c.lastReports, c.lastSeen = map[ident.VM]time.Time{}, map[registry.UpstreamID]time.Time{}
-	c.reportOrder = map[ident.VM]reportOrder{}
+	c.reportOrder, c.replySerial = map[ident.VM]reportOrder{}, 0
 	var mayHoldAllowances []ident.VM
 	c.opts.StateMachine.view(func(r *registry.Registry) {
 		c.observations.Restore(now, r.Kept)
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -111,6 +111,7 @@
 	appliedSequence         uint64        // number of the newest report whose reply was applied
 	repliedSequence         uint64        // number of the newest report that was replied to
 	appliedTerm             ident.Term    // term of the leader that sent that reply
+	replySerial             uint64        // the serial of that leader's newest reply
 }
 
 // New returns a proxy that refuses all requests until Update provides a catalog.
--- a/entry/proxy/ratelimit.go
+++ b/entry/proxy/ratelimit.go
@@ -127,7 +127,7 @@
 	if report.Sequence < p.repliedSequence {
 		return // overtaken by the reply to a later report, maybe of a later leader
 	}
-	p.repliedSequence = report.Sequence
+	p.repliedSequence, p.replySerial = report.Sequence, reply.Serial
 	p.applyObservations(now, report, reply)
 	close(p.reportAnswered) // after the reply has been applied, because the waiting requests need p.mu
 	p.reportAnswered = make(chan struct{})
@@ -169,7 +169,8 @@
 	vm := p.opts.VM
 	vm.Up = !p.stop.begun()
 	p.reportSequence++
-	report := protocol.Report{VM: vm, Sequence: p.reportSequence, AppliedSequence: p.appliedSequence, AppliedTerm: p.appliedTerm, RecentlyStarted: now.Sub(p.startedAt) < 2*p.opts.Bounds.RateWindow}
+	echo := p.replySerial
+	report := protocol.Report{VM: vm, Sequence: p.reportSequence, AppliedSequence: p.appliedSequence, AppliedTerm: p.appliedTerm, Echo: &echo, RecentlyStarted: now.Sub(p.startedAt) < 2*p.opts.Bounds.RateWindow}
 	report.RateUsage, report.Full = p.rateLimiter.Report(now)
 	p.addDemand(now, &report)
 	report.Observed = p.observations.Report(now)
--- a/fleet/protocol/protocol.go
+++ b/fleet/protocol/protocol.go
@@ -97,6 +97,7 @@
 	Sequence        uint64               `json:"sequence"`        // number of the report, counted from the start of the VM
 	AppliedSequence uint64               `json:"seen"`            // number of the latest report whose reply this VM applied
 	AppliedTerm     ident.Term           `json:"term"`            // term of the leader that sent this reply
+	Echo            *uint64              `json:"echo,omitempty"`  // serial of the latest reply of that leader, 0 if there was none; nil in reports of earlier builds
 	Full            bool                 `json:"whole,omitempty"` // values that the report omits are zero; otherwise they are as last reported
 	RecentlyStarted bool                 `json:"fresh,omitempty"` // an earlier run of this VM may have admitted requests within the window
 	RateUsage       RateUsageByWorkspace `json:"rates,omitempty"`
@@ -114,7 +115,8 @@
 // ReportReply renews the lease of all allowances and carries the values that changed.
 type ReportReply struct {
 	Term               ident.Term             `json:"term"`
-	FullReportRequired bool                   `json:"again,omitempty"` // the leader has no state of this VM and needs a full report
+	Serial             uint64                 `json:"serial,omitempty"` // counts the leader's replies in the term
+	FullReportRequired bool                   `json:"again,omitempty"`  // the leader has no state of this VM and needs a full report
 	Allowances         Allowances             `json:"allow,omitempty"`
 	Lease              time.Duration          `json:"lease"`            // from the time at which the VM sent its report
 	VMCount            int                    `json:"vms"`              // number of entry VMs that share the rates
