server: a verdict says after which one it was sent

They may carry `after` now, the index of the newest verdict on the target that the sender knows, which each answer returns; the leader refuses one that is older than the newest, and commits verdicts one at a time. Without it a verdict counts as before, so that senders need no change.

TestLateVerdictDoesNotUndoNewerOne failed before.

--- a/control/ledger/ledger.go
+++ b/control/ledger/ledger.go
@@ -150,6 +150,11 @@
 	return list
 }
 
+// Verdict returns the newest verdict on a target, or nil if there is none.
+func (l *Ledger) Verdict(kind, target string) *rpc.Verdict {
+	return l.verdicts[verdictTarget{kind, target}]
+}
+
 // Verdicts returns the verdicts in force, sorted by kind and target.
 func (l *Ledger) Verdicts() []*rpc.Verdict {
 	list := make([]*rpc.Verdict, 0, len(l.verdicts))
--- a/control/server/refusal_test.go
+++ b/control/server/refusal_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"cuminfall.example/control/ledger"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/rpc"
 	"cuminfall.example/fleet/settings"
@@ -39,3 +41,34 @@
 	_, err = s.leader.server.Show(context.Background(), &rpc.ShowRequest{})
 	is.Equal(fault.Of(err).Code, fault.NotLeader)
 }
+
+// Guards against a verdict that waits anywhere on its way, and takes a place out of use or back into use after a newer one, in
+// either direction.
+func TestLateVerdictDoesNotUndoNewerOne(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 0, 0, 0)
+	s.setUp(0)
+	s.setSection("owners", fmt.Sprintf("[[operator]]\nname = \"op\"\nhash = %q\nsections = [\"owners\"]\n[[monitor]]\nname = \"m\"\nhash = %q\n", ledger.HashCredential("c"), ledger.HashCredential("m")))
+	is.Equal(s.failure, "")
+	n := 0
+	judge := func(down bool, after uint64) (uint64, error) {
+		n++
+		reply, err := s.leader.server.Judge(context.Background(), &rpc.JudgeRequest{Credential: "m",
+			Verdict: &rpc.Verdict{Kind: "domain", Target: "d1", Down: down, Id: fmt.Sprint(n), Index: after}})
+		return reply.GetIndex(), err
+	}
+	for _, down := range []bool{true, false} {
+		known, err := judge(!down, 0)
+		is.NoErr(err)
+		newer, err := judge(down, known)
+		is.NoErr(err)
+		newer, err = judge(!down, newer)
+		is.NoErr(err)
+		_, err = judge(down, known) // sent before the newer ones
+		is.True(err != nil)
+		is.Equal(fault.Of(err).Code, fault.Conflict)
+		is.Equal(s.leader.ledger.Verdict("domain", "d1").GetDown(), !down)
+		_, err = judge(down, newer)
+		is.NoErr(err)
+	}
+}
--- a/control/server/server.go
+++ b/control/server/server.go
@@ -65,6 +65,7 @@
 	log         logrus.FieldLogger
 	timings     Timings
 	planTrigger chan struct{}
+	judging     chan struct{} // held while a verdict is committed
 	metrics     serverMetrics
 
 	mu          sync.Mutex
@@ -81,7 +82,7 @@
 func New(o Options) *Server {
 	return &Server{
 		replica: o.Replica, ledger: o.Ledger, clock: o.Clock, log: o.Log, timings: o.Timings,
-		planTrigger: make(chan struct{}, 1),
+		planTrigger: make(chan struct{}, 1), judging: make(chan struct{}, 1),
 		metrics: serverMetrics{
 			syncs:     metrics.GetOrRegisterCounter("session.syncs", o.Metrics),
 			refusals:  metrics.GetOrRegisterCounter("operations.refusals", o.Metrics),
--- a/control/server/session.go
+++ b/control/server/session.go
@@ -171,12 +171,41 @@
 	return &rpc.AnnounceReply{Index: uint64(index.(ident.Index))}, nil
 }
 
+// beginVerdict checks that a verdict is not older than the one on its target. Verdicts are committed one at a time, so that
+// each is checked against the one before. The returned function ends that.
+func (s *Server) beginVerdict(ctx context.Context, v *rpc.Verdict) (done func(), err error) {
+	select {
+	case s.judging <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Deadline, "judge", v.GetTarget())
+	}
+	done = func() { <-s.judging }
+	err = s.readCommitted("judge", func() error {
+		newest := s.ledger.Verdict(v.GetKind(), v.GetTarget())
+		if after := v.GetIndex(); after == 0 || newest.GetIndex() <= after || newest.GetId() == v.GetId() && newest.GetDown() == v.GetDown() {
+			return nil
+		}
+		return fault.New(fault.Conflict, "judge", v.GetTarget(), "verdict %q of index %d is newer than index %d, after which this one was sent", newest.GetId(), newest.GetIndex(), v.GetIndex())
+	})
+	if err != nil {
+		done()
+		s.countRefusal(fault.Of(err))
+		return nil, err
+	}
+	return done, nil
+}
+
 // Judge implements rpc.Session.
 func (s *Server) Judge(ctx context.Context, r *rpc.JudgeRequest) (*rpc.JudgeReply, error) {
 	hash := ledger.HashCredential(r.GetCredential())
 	if err := s.precheck("judge", func() error { _, err := s.ledger.Monitor(hash); return err }); err != nil {
 		return nil, fault.Twirp(err)
 	}
+	done, err := s.beginVerdict(ctx, r.GetVerdict())
+	if err != nil {
+		return nil, fault.Twirp(err)
+	}
+	defer done()
 	index, err := s.propose(ctx, "judge", ledger.SetVerdict{Judge: &wire.Judge{Verdict: r.GetVerdict(), Hash: hash}})
 	if err != nil {
 		return nil, fault.Twirp(err)
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -232,6 +232,7 @@
 	Kind   string `json:"kind"`
 	State  string `json:"state"`
 	ID     string `json:"id"`
+	After  uint64 `json:"after"` // index of the newest verdict on the target that its sender knows; 0 makes it count whatever came before
 }
 
 func (g *Gateway) verdict(w http.ResponseWriter, r *http.Request) {
@@ -249,7 +250,7 @@
 		return
 	}
 	index, err := g.Control.SetVerdict(r.Context(), g.commitDeadline(), &rpc.JudgeRequest{
-		Verdict:    &rpc.Verdict{Kind: v.Kind, Target: v.Target, Down: v.State == "down", Id: v.ID},
+		Verdict:    &rpc.Verdict{Kind: v.Kind, Target: v.Target, Down: v.State == "down", Id: v.ID, Index: v.After},
 		Credential: strings.TrimSpace(secret),
 	})
 	g.writeIndex(w, "verdict", index, err)
