forward: the limit of a trailer ends with it

A late copy in chunks, which is read past, left the limit of its trailer on the connection: the answer after it was cut off at 4 KiB. TestLongAnswerAfterCopyWithTrailer failed before.

--- a/entry/forward/answer.go
+++ b/entry/forward/answer.go
@@ -194,7 +194,7 @@
 }
 
 func (b *chunkedBody) readTrailer() error {
-	b.conn.limitFields(maxTrailerBytes)
+	defer b.conn.beginTrailer(maxTrailerBytes)()
 	trailer, err := readFields(textproto.NewReader(b.conn.reader))
 	if err != nil {
 		return err
--- a/entry/forward/conn.go
+++ b/entry/forward/conn.go
@@ -229,8 +229,12 @@
 	return c.failure
 }
 
-// limitFields limits the bytes of the trailer that is read next.
-func (c *conn) limitFields(n int) { c.headRemaining, c.inTrailer = n, true }
+// beginTrailer limits the bytes of the trailer that is read next. The returned function ends that.
+func (c *conn) beginTrailer(maxBytes int) (end func()) {
+	ofHead := c.headRemaining
+	c.headRemaining, c.inTrailer = maxBytes, true
+	return func() { c.headRemaining, c.inTrailer = ofHead, false }
+}
 
 // progressDeadline returns the time by which a read or write must make progress before the
 // connection is checked.
