--- a/entry/forward/answer_test.go
+++ b/entry/forward/answer_test.go
@@ -14,6 +14,22 @@
 	"github.com/matryer/is"
 )
 
+// readAnswerOf sends a request with the ID "a" to an upstream and reads the body of the answer.
+func readAnswerOf(t *testing.T, u *fakeUpstream) (x *Exchange, body []byte, err error) {
+	t.Helper()
+	client := New(Options{WireFormat: &idFormat})
+	t.Cleanup(client.Close)
+	client.Update([]Endpoint{{u.address, 1, 4}})
+	request := u.request("/", 5*time.Second)
+	request.Header = http.Header{"X-Id": {"a"}}
+	if x, err = client.Do(context.Background(), request); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(x.Close)
+	body, err = io.ReadAll(x)
+	return x, body, err
+}
+
 // Guards against limits of a trailer that go on to hold for the bytes after it: a late copy in chunks precedes a long answer.
 func TestLongAnswerAfterCopyWithTrailer(t *testing.T) {
 	is := is.New(t)
@@ -24,15 +40,7 @@
 		time.Sleep(20 * time.Millisecond)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Long: %s\r\nContent-Length: %d\r\n\r\n%s", strings.Repeat("y", 8<<10), size, strings.Repeat("x", size))
 	})
-	client := New(Options{WireFormat: &idFormat})
-	t.Cleanup(client.Close)
-	client.Update([]Endpoint{{u.address, 1, 4}})
-	request := u.request("/", 5*time.Second)
-	request.Header = http.Header{"X-Id": {"a"}}
-	x, err := client.Do(context.Background(), request)
-	is.NoErr(err)
-	defer x.Close()
-	body, err := io.ReadAll(x)
+	_, body, err := readAnswerOf(t, u)
 	is.NoErr(err)
 	is.Equal(len(body), size)
 }
@@ -54,15 +62,7 @@
 				u.readRequest(in)
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+c.trailer)
 			})
-			client := New(Options{WireFormat: &idFormat})
-			t.Cleanup(client.Close)
-			client.Update([]Endpoint{{u.address, 1, 4}})
-			request := u.request("/", 5*time.Second)
-			request.Header = http.Header{"X-Id": {"a"}}
-			x, err := client.Do(context.Background(), request)
-			is.NoErr(err)
-			defer x.Close()
-			body, err := io.ReadAll(x)
+			x, body, err := readAnswerOf(t, u)
 			is.Equal(err == nil, c.complete)
 			is.Equal(string(body), "ok")
 			if name == "short" {
