--- a/entry/proxy/oddanswer_test.go
+++ b/entry/proxy/oddanswer_test.go
@@ -25,7 +25,7 @@
 	"a control byte in the reason":       "HTTP/1.1 200 O\x01K\r\nX-Id: ID\r\nX-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
 	"a blank in a name":                  "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok",
 	"a blank after a name":               "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nContent-Length : 2\r\n\r\nok and more",
-	"a blank after the name of the code": "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"a blank after the coding's name":    "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"a tab in a name":                    "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nX\tOdd: 1\r\nContent-Length: 2\r\n\r\nok",
 	"a control byte in a name":           "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nContent\x01Length: 2\r\n\r\nok",
 	"no name":                            "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\n: 1\r\nContent-Length: 2\r\n\r\nok",
