--- a/entry/shutdown/shutdown_test.go
+++ b/entry/shutdown/shutdown_test.go
@@ -81,3 +81,17 @@
 	is.True(!KeepsIdle(grace, 2801*ms, 3*time.Second))
 	is.True(!KeepsIdle(grace, 0, 6*time.Second))
 }
+
+// Guards against a request that is accepted because the VM noticed the signal late, and is still running when the grace period
+// ends, which counts from the signal.
+func TestVMThatNoticesItsStopLate(t *testing.T) {
+	is := is.New(t)
+	const grace, noticedAfter = 10 * time.Second, 100 * ms
+	for sent := noticedAfter; sent < grace; sent += 10 * ms {
+		for remaining := time.Duration(0); remaining < grace; remaining += 50 * ms {
+			if Decide(grace, Request{Elapsed: sent - noticedAfter, Remaining: remaining}).Accept {
+				is.True(sent+remaining <= grace)
+			}
+		}
+	}
+}
