--- a/review/standin-3/case13/main.go
+++ b/review/standin-3/case13/main.go
@@ -1,5 +1,4 @@
-// Command case13 plays two requests on one kept connection, of which the first is an upload that a full endpoint rejects
-// before its body is in.
+// Command case13 plays uploads over slow links to endpoints that begin to answer before they have read the whole body.
 package main
 
 import (
@@ -8,161 +7,108 @@
 	"io"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"cuminfall.example/review/standin3/harness"
 )
 
 const (
-	rounds      = 20
-	bodySize    = 60000
-	pieceSize   = 3000
-	pieceGap    = 10 * time.Millisecond // 300 kB/s
-	clientLimit = 4 * time.Second
-	work        = 600 * time.Millisecond
-	lossSlack   = 200 * time.Millisecond
+	uploads     = 60
+	bodySize    = 60000 // mean of an upload in the site files
+	pieceSize   = 1500
+	pieceGap    = 150 * time.Millisecond // 10 kB/s, so that 60 kB take 6 s
+	clientLimit = 5 * time.Second
+	// checkInterval is the time between two checks of an endpoint for requests whose time limit has passed.
+	checkInterval = 50 * time.Millisecond
 )
 
 func main() { harness.Main(play) }
 
 func play(f *harness.Fleet) (bool, error) {
 	var mu sync.Mutex
-	rejected, ran := map[string]bool{}, map[string]bool{}
-	routes := map[string]harness.Route{"r-lookups": {Prefix: "/lookups/", Kind: "safe", Timeout: "3500ms", Service: "kp-index", Attempts: 3}}
-	err := f.Prepare(routes, "kp-index", 6, func(e *harness.Endpoint, c *harness.Conn, r *http.Request) bool {
+	begun := map[string]bool{}
+	routes := map[string]harness.Route{"r-photos": {Prefix: "/photos/", Kind: "upload", Timeout: "3000ms", Service: "kuva-arkisto", Attempts: 2}}
+	err := f.Prepare(routes, "kuva-arkisto", 6, func(e *harness.Endpoint, c *harness.Conn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
-		mu.Lock()
-		reject := r.ContentLength > 0 && !rejected[id]
-		rejected[id] = rejected[id] || reject
-		mu.Unlock()
-		full := http.Header{"Not-Executed": {"1"}, "Server-Load": {"4,12,4"}}
-		if reject && harness.Trouble() {
-			// It is full, says so before it has read the body, and reads on.
-			f.Record.Line("endpoint %s rejects %s at its head", e.ID, id)
-			harness.Answer(c, r, http.StatusServiceUnavailable, full, nil)
-			_, err := io.Copy(io.Discard, r.Body)
-			return err == nil
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return false
+		answer := bytes.Repeat([]byte("ok "), 300)
+		begin := func() {
+			mu.Lock()
+			defer mu.Unlock()
+			begun[id] = true
+			f.Record.Line("endpoint %s began to work on %s, time limit %s", e.ID, id, harness.TimeLimit(r))
 		}
-		if reject {
-			f.Record.Line("endpoint %s rejects %s after its body", e.ID, id)
-			harness.Answer(c, r, http.StatusServiceUnavailable, full, nil)
-			return true
+		// At its time limit an endpoint stops; it finds out at its next check, and closes the connection then.
+		_ = c.SetReadDeadline(time.Now().Add(harness.TimeLimit(r)).Truncate(checkInterval).Add(checkInterval))
+		if harness.Trouble() {
+			// It answers while the body arrives.
+			begin()
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 3e1b.07\r\nContent-Length: %d\r\n\r\n", id, len(answer))
+			_, _ = c.Write(answer[:len(answer)/2])
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				f.Record.Line("endpoint %s: body of %s ended early: %v", e.ID, id, err)
+				return false
+			}
+			_, _ = c.Write(answer[len(answer)/2:])
+		} else {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				f.Record.Line("endpoint %s: body of %s ended early, not run: %v", e.ID, id, err)
+				return false
+			}
+			begin()
+			harness.Answer(c, r, http.StatusOK, harness.Stamp(), answer)
 		}
-		mu.Lock()
-		ran[id] = true
-		mu.Unlock()
-		f.Record.Line("endpoint %s runs %s", e.ID, id)
-		time.Sleep(work)
-		harness.Answer(c, r, http.StatusOK, harness.Stamp(), []byte(id))
+		_ = c.SetReadDeadline(time.Time{})
 		return true
 	})
 	if err != nil {
 		return false, err
 	}
-	for _, m := range f.Edges {
-		f.Record.Line("SIGHUP to %s", m.Name)
-		m.Signal(syscall.SIGHUP)
-	}
 	var clients sync.WaitGroup
-	lost, closedAfterAnswer := 0, 0
-	for i := range rounds {
-		time.Sleep(50 * time.Millisecond) // all are sent within configApply after the SIGHUP
+	falsePromises := 0
+	for i := range uploads {
+		time.Sleep(50 * time.Millisecond)
 		clients.Go(func() {
-			m := f.Edges[i%len(f.Edges)]
-			l := pipelined(f, m, fmt.Sprintf("p%02d", i))
-			k := sequential(f, m, fmt.Sprintf("s%02d", i))
+			id := fmt.Sprintf("upload-%02d", i)
+			status, text := upload(f, f.Edges[i%len(f.Edges)], id)
 			mu.Lock()
 			defer mu.Unlock()
-			if l {
-				lost++
-			}
-			if k {
-				closedAfterAnswer++
+			f.Record.Line("client: %s got %s, its endpoint had begun: %v", id, text, begun[id])
+			switch status {
+			case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+				if begun[id] {
+					falsePromises++
+				}
 			}
 		})
 	}
 	clients.Wait()
-	f.Record.Line("%d of %d second requests, sent without waiting for the first answer: connection ended without an answer, over %s after the last byte", lost, rounds, lossSlack)
-	f.Record.Line("%d of %d second requests, sent after the first answer: connection ended without an answer (not part of the check)", closedAfterAnswer, rounds)
-	fmt.Printf("%d of %d lost; besides, %d of %d on kept connections without pipelining\n", lost, rounds, closedAfterAnswer, rounds)
-	return lost > 0, nil
+	f.Record.Line("%d of %d uploads were answered 408, 421, 429 or 503 although an endpoint had begun to work on them", falsePromises, uploads)
+	fmt.Printf("%d of %d uploads refused although begun\n", falsePromises, uploads)
+	return falsePromises > 0, nil
 }
 
-// pipelined sends an upload by PUT and a GET right after it, and reports whether the connection ended without an answer to
-// the GET later than lossSlack after its last byte was sent.
-func pipelined(f *harness.Fleet, m *harness.Machine, id string) bool {
+// upload sends one upload over a slow link and returns the status of its answer, or 0 without one.
+func upload(f *harness.Fleet, m *harness.Machine, id string) (int, string) {
 	c, err := harness.Dial(m)
 	if err != nil {
-		return false
+		return 0, err.Error()
 	}
 	defer func() { _ = c.Close() }()
-	sent := make(chan time.Time, 1)
-	f.Record.Line("client: %s-1 and %s-2 sent to %s on one connection", id, id, m.Name)
+	f.Record.Line("client: %s sent to %s", id, m.Name)
 	go func() {
-		send(c, id+"-1")
-		_, _ = c.Write(harness.Head(http.MethodGet, "/lookups/2", id+"-2", clientLimit, -1))
-		sent <- time.Now()
-	}()
-	until := time.Now().Add(clientLimit)
-	if !answered(f, c, http.MethodPut, id+"-1", until) {
-		return false
-	}
-	lastByte := <-sent
-	_, _, err = c.Response(http.MethodGet, until)
-	took := time.Since(lastByte)
-	f.Record.Line("client: %s-2: %v, %s after its last byte was sent", id, errText(err), took)
-	return err != nil && time.Now().Before(until) && took > lossSlack
-}
-
-// sequential sends an upload, waits for its answer, and then sends a GET on the same connection. It reports whether the
-// connection ended without an answer to the GET.
-func sequential(f *harness.Fleet, m *harness.Machine, id string) bool {
-	c, err := harness.Dial(m)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = c.Close() }()
-	go send(c, id+"-1")
-	if !answered(f, c, http.MethodPut, id+"-1", time.Now().Add(clientLimit)) {
-		return false
-	}
-	_, _ = c.Write(harness.Head(http.MethodGet, "/lookups/2", id+"-2", clientLimit, -1))
-	_, _, err = c.Response(http.MethodGet, time.Now().Add(clientLimit))
-	f.Record.Line("client: %s-2, sent after the answer to %s-1: %v", id, id, errText(err))
-	return err != nil
-}
-
-func send(c *harness.Client, id string) {
-	if _, err := c.Write(harness.Head(http.MethodPut, "/lookups/1", id, clientLimit, bodySize)); err != nil {
-		return
-	}
-	piece := bytes.Repeat([]byte("x"), pieceSize)
-	for sent := 0; sent < bodySize; sent += pieceSize {
-		if _, err := c.Write(piece); err != nil {
+		if _, err := c.Write(harness.Head(http.MethodPost, "/photos/1", id, clientLimit, bodySize)); err != nil {
 			return
 		}
-		time.Sleep(pieceGap)
-	}
-}
-
-// answered reads the first answer and reports whether it keeps the connection open.
-func answered(f *harness.Fleet, c *harness.Client, method, id string, until time.Time) bool {
-	r, _, err := c.Response(method, until)
-	if err != nil {
-		f.Record.Line("client: %s: %v", id, err)
-		return false
-	}
-	f.Record.Line("client: %s got %s, connection closes: %v", id, r.Status, r.Close)
-	return !r.Close
-}
-
-func errText(err error) string {
-	if err == nil {
-		return "answered"
+		for sent := 0; sent < bodySize; sent += pieceSize {
+			if _, err := c.Write(make([]byte, pieceSize)); err != nil {
+				return
+			}
+			time.Sleep(pieceGap)
+		}
+	}()
+	r, _, err := c.Response(http.MethodPost, time.Now().Add(clientLimit))
+	if r == nil {
+		return 0, fmt.Sprintf("no answer: %v", err)
 	}
-	return "no answer: " + err.Error()
+	return r.StatusCode, r.Status
 }
--- a/review/standin-3/case14/main.go
+++ b/review/standin-3/case14/main.go
@@ -1,4 +1,5 @@
-// Command case14 plays long answers of endpoints that fall silent for a while.
+// Command case14 plays two requests on one kept connection, of which the first is an upload that a full endpoint rejects
+// before its body is in.
 package main
 
 import (
@@ -14,31 +15,50 @@
 )
 
 const (
-	requests    = 9
-	answerSize  = 600000
-	silence     = 12 * time.Second
-	clientLimit = 20 * time.Second
+	rounds      = 20
+	bodySize    = 60000
+	pieceSize   = 3000
+	pieceGap    = 10 * time.Millisecond // 300 kB/s
+	clientLimit = 4 * time.Second
+	work        = 600 * time.Millisecond
+	lossSlack   = 200 * time.Millisecond
 )
 
 func main() { harness.Main(play) }
 
 func play(f *harness.Fleet) (bool, error) {
-	routes := map[string]harness.Route{"r-lookups": {Prefix: "/lookups/", Kind: "safe", Timeout: "20000ms", Service: "kp-index", Attempts: 2}}
+	var mu sync.Mutex
+	rejected, ran := map[string]bool{}, map[string]bool{}
+	routes := map[string]harness.Route{"r-lookups": {Prefix: "/lookups/", Kind: "safe", Timeout: "3500ms", Service: "kp-index", Attempts: 3}}
 	err := f.Prepare(routes, "kp-index", 6, func(e *harness.Endpoint, c *harness.Conn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
+		mu.Lock()
+		reject := r.ContentLength > 0 && !rejected[id]
+		rejected[id] = rejected[id] || reject
+		mu.Unlock()
+		full := http.Header{"Not-Executed": {"1"}, "Server-Load": {"4,12,4"}}
+		if reject && harness.Trouble() {
+			// It is full, says so before it has read the body, and reads on.
+			f.Record.Line("endpoint %s rejects %s at its head", e.ID, id)
+			harness.Answer(c, r, http.StatusServiceUnavailable, full, nil)
+			_, err := io.Copy(io.Discard, r.Body)
+			return err == nil
+		}
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return false
 		}
-		answer := bytes.Repeat([]byte("z"), answerSize)
-		f.Record.Line("endpoint %s runs %s", e.ID, id)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 3e1b.07\r\nContent-Length: %d\r\n\r\n", id, len(answer))
-		_, _ = c.Write(answer[:len(answer)*2/3])
-		if harness.Trouble() {
-			time.Sleep(silence)
+		if reject {
+			f.Record.Line("endpoint %s rejects %s after its body", e.ID, id)
+			harness.Answer(c, r, http.StatusServiceUnavailable, full, nil)
+			return true
 		}
-		_, err := c.Write(answer[len(answer)*2/3:])
-		f.Record.Line("endpoint %s ended the answer to %s: error %v", e.ID, id, err)
-		return err == nil
+		mu.Lock()
+		ran[id] = true
+		mu.Unlock()
+		f.Record.Line("endpoint %s runs %s", e.ID, id)
+		time.Sleep(work)
+		harness.Answer(c, r, http.StatusOK, harness.Stamp(), []byte(id))
+		return true
 	})
 	if err != nil {
 		return false, err
@@ -47,36 +67,102 @@
 		f.Record.Line("SIGHUP to %s", m.Name)
 		m.Signal(syscall.SIGHUP)
 	}
-	var mu sync.Mutex
 	var clients sync.WaitGroup
-	lost := 0
-	for i := range requests {
+	lost, closedAfterAnswer := 0, 0
+	for i := range rounds {
+		time.Sleep(50 * time.Millisecond) // all are sent within configApply after the SIGHUP
 		clients.Go(func() {
-			id := fmt.Sprintf("lookup-%d", i)
-			c, err := harness.Dial(f.Edges[i%len(f.Edges)])
-			if err != nil {
-				return
-			}
-			defer func() { _ = c.Close() }()
-			start := time.Now()
-			f.Record.Line("client: %s sent to %s", id, f.Edges[i%len(f.Edges)].Name)
-			_, _ = c.Write(harness.Head(http.MethodGet, "/lookups/1", id, clientLimit, -1))
-			r, body, err := c.Response(http.MethodGet, start.Add(clientLimit))
-			took := time.Since(start)
-			if r == nil {
-				f.Record.Line("client: %s has no answer after %s: %v", id, took, err)
-				return
-			}
-			f.Record.Line("client: %s got %s with %d of %d bytes after %s: %v", id, r.Status, len(body), answerSize, took, err)
-			if err != nil && took < clientLimit*7/10 {
-				mu.Lock()
-				defer mu.Unlock()
+			m := f.Edges[i%len(f.Edges)]
+			l := pipelined(f, m, fmt.Sprintf("p%02d", i))
+			k := sequential(f, m, fmt.Sprintf("s%02d", i))
+			mu.Lock()
+			defer mu.Unlock()
+			if l {
 				lost++
 			}
+			if k {
+				closedAfterAnswer++
+			}
 		})
 	}
 	clients.Wait()
-	f.Record.Line("%d of %d answers were broken off while their endpoint was silent", lost, requests)
-	fmt.Printf("%d of %d answers broken off\n", lost, requests)
+	f.Record.Line("%d of %d second requests, sent without waiting for the first answer: connection ended without an answer, over %s after the last byte", lost, rounds, lossSlack)
+	f.Record.Line("%d of %d second requests, sent after the first answer: connection ended without an answer (not part of the check)", closedAfterAnswer, rounds)
+	fmt.Printf("%d of %d lost; besides, %d of %d on kept connections without pipelining\n", lost, rounds, closedAfterAnswer, rounds)
 	return lost > 0, nil
 }
+
+// pipelined sends an upload by PUT and a GET right after it, and reports whether the connection ended without an answer to
+// the GET later than lossSlack after its last byte was sent.
+func pipelined(f *harness.Fleet, m *harness.Machine, id string) bool {
+	c, err := harness.Dial(m)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	sent := make(chan time.Time, 1)
+	f.Record.Line("client: %s-1 and %s-2 sent to %s on one connection", id, id, m.Name)
+	go func() {
+		send(c, id+"-1")
+		_, _ = c.Write(harness.Head(http.MethodGet, "/lookups/2", id+"-2", clientLimit, -1))
+		sent <- time.Now()
+	}()
+	until := time.Now().Add(clientLimit)
+	if !answered(f, c, http.MethodPut, id+"-1", until) {
+		return false
+	}
+	lastByte := <-sent
+	_, _, err = c.Response(http.MethodGet, until)
+	took := time.Since(lastByte)
+	f.Record.Line("client: %s-2: %v, %s after its last byte was sent", id, errText(err), took)
+	return err != nil && time.Now().Before(until) && took > lossSlack
+}
+
+// sequential sends an upload, waits for its answer, and then sends a GET on the same connection. It reports whether the
+// connection ended without an answer to the GET.
+func sequential(f *harness.Fleet, m *harness.Machine, id string) bool {
+	c, err := harness.Dial(m)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	go send(c, id+"-1")
+	if !answered(f, c, http.MethodPut, id+"-1", time.Now().Add(clientLimit)) {
+		return false
+	}
+	_, _ = c.Write(harness.Head(http.MethodGet, "/lookups/2", id+"-2", clientLimit, -1))
+	_, _, err = c.Response(http.MethodGet, time.Now().Add(clientLimit))
+	f.Record.Line("client: %s-2, sent after the answer to %s-1: %v", id, id, errText(err))
+	return err != nil
+}
+
+func send(c *harness.Client, id string) {
+	if _, err := c.Write(harness.Head(http.MethodPut, "/lookups/1", id, clientLimit, bodySize)); err != nil {
+		return
+	}
+	piece := bytes.Repeat([]byte("x"), pieceSize)
+	for sent := 0; sent < bodySize; sent += pieceSize {
+		if _, err := c.Write(piece); err != nil {
+			return
+		}
+		time.Sleep(pieceGap)
+	}
+}
+
+// answered reads the first answer and reports whether it keeps the connection open.
+func answered(f *harness.Fleet, c *harness.Client, method, id string, until time.Time) bool {
+	r, _, err := c.Response(method, until)
+	if err != nil {
+		f.Record.Line("client: %s: %v", id, err)
+		return false
+	}
+	f.Record.Line("client: %s got %s, connection closes: %v", id, r.Status, r.Close)
+	return !r.Close
+}
+
+func errText(err error) string {
+	if err == nil {
+		return "answered"
+	}
+	return "no answer: " + err.Error()
+}
--- a/review/standin-3/case15/main.go
+++ b/review/standin-3/case15/main.go
@@ -1,123 +1,82 @@
-// Command case15 plays uploads to endpoints that answer before they have read the whole body, and read on later.
+// Command case15 plays long answers of endpoints that fall silent for a while.
 package main
 
 import (
-	"crypto/sha256"
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"cuminfall.example/review/standin3/harness"
 )
 
 const (
-	uploads     = 30
-	bodySize    = 60000 // mean of an upload in the site files
-	pieceSize   = 3000
-	pieceGap    = 10 * time.Millisecond // 300 kB/s, so that 60 kB take 0.2 s
-	clientLimit = 5 * time.Second
+	requests    = 9
+	answerSize  = 600000
+	silence     = 12 * time.Second
+	clientLimit = 20 * time.Second
 )
 
 func main() { harness.Main(play) }
 
-// run is what an endpoint received of a request that it ran.
-type run struct {
-	length int64
-	sum    [sha256.Size]byte
-	err    error
-}
-
 func play(f *harness.Fleet) (bool, error) {
-	var mu sync.Mutex
-	runs := map[string]run{}
-	routes := map[string]harness.Route{"r-photos": {Prefix: "/photos/", Kind: "upload", Timeout: "3000ms", Service: "kuva-arkisto", Attempts: 2}}
-	err := f.Prepare(routes, "kuva-arkisto", 6, func(e *harness.Endpoint, c *harness.Conn, r *http.Request) bool {
+	routes := map[string]harness.Route{"r-lookups": {Prefix: "/lookups/", Kind: "safe", Timeout: "20000ms", Service: "kp-index", Attempts: 2}}
+	err := f.Prepare(routes, "kp-index", 6, func(e *harness.Endpoint, c *harness.Conn, r *http.Request) bool {
 		id := r.Header.Get("Request-Id")
-		if harness.Trouble() {
-			f.Record.Line("endpoint %s answers %s with 200 and reads on", e.ID, id)
-			harness.Answer(c, r, http.StatusOK, harness.Stamp(), []byte("accepted"))
-		}
-		hash := sha256.New()
-		var got run
-		got.length, got.err = io.Copy(hash, r.Body)
-		copy(got.sum[:], hash.Sum(nil))
-		mu.Lock()
-		runs[id] = got
-		mu.Unlock()
-		f.Record.Line("endpoint %s got %d bytes of the body of %s: error %v", e.ID, got.length, id, got.err)
-		if got.err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return false
 		}
-		if !harness.Trouble() {
-			harness.Answer(c, r, http.StatusOK, harness.Stamp(), []byte("accepted"))
+		answer := bytes.Repeat([]byte("z"), answerSize)
+		f.Record.Line("endpoint %s runs %s", e.ID, id)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: 3e1b.07\r\nContent-Length: %d\r\n\r\n", id, len(answer))
+		_, _ = c.Write(answer[:len(answer)*2/3])
+		if harness.Trouble() {
+			time.Sleep(silence)
 		}
-		return true
+		_, err := c.Write(answer[len(answer)*2/3:])
+		f.Record.Line("endpoint %s ended the answer to %s: error %v", e.ID, id, err)
+		return err == nil
 	})
 	if err != nil {
 		return false, err
 	}
+	for _, m := range f.Edges {
+		f.Record.Line("SIGHUP to %s", m.Name)
+		m.Signal(syscall.SIGHUP)
+	}
+	var mu sync.Mutex
 	var clients sync.WaitGroup
-	var accepted []string
-	for i := range uploads {
-		time.Sleep(50 * time.Millisecond)
+	lost := 0
+	for i := range requests {
 		clients.Go(func() {
-			id := fmt.Sprintf("upload-%02d", i)
-			if upload(f, f.Edges[i%len(f.Edges)], id) {
+			id := fmt.Sprintf("lookup-%d", i)
+			c, err := harness.Dial(f.Edges[i%len(f.Edges)])
+			if err != nil {
+				return
+			}
+			defer func() { _ = c.Close() }()
+			start := time.Now()
+			f.Record.Line("client: %s sent to %s", id, f.Edges[i%len(f.Edges)].Name)
+			_, _ = c.Write(harness.Head(http.MethodGet, "/lookups/1", id, clientLimit, -1))
+			r, body, err := c.Response(http.MethodGet, start.Add(clientLimit))
+			took := time.Since(start)
+			if r == nil {
+				f.Record.Line("client: %s has no answer after %s: %v", id, took, err)
+				return
+			}
+			f.Record.Line("client: %s got %s with %d of %d bytes after %s: %v", id, r.Status, len(body), answerSize, took, err)
+			if err != nil && took < clientLimit*7/10 {
 				mu.Lock()
 				defer mu.Unlock()
-				accepted = append(accepted, id)
+				lost++
 			}
 		})
 	}
 	clients.Wait()
-	time.Sleep(time.Second) // the endpoints read on
-	mu.Lock()
-	defer mu.Unlock()
-	cut := 0
-	for _, id := range accepted {
-		if got := runs[id]; got.length != bodySize || got.sum != sha256.Sum256(body(id)) {
-			cut++
-			f.Record.Line("%s: the client sent %d bytes and got 200, its endpoint got %d bytes", id, bodySize, got.length)
-		}
-	}
-	f.Record.Line("%d of %d uploads that were answered 200 reached their endpoint with another body", cut, len(accepted))
-	fmt.Printf("%d of %d accepted uploads were cut\n", cut, len(accepted))
-	return cut > 0, nil
-}
-
-func body(id string) []byte {
-	b := make([]byte, bodySize)
-	for i := range b {
-		b[i] = id[i%len(id)]
-	}
-	return b
-}
-
-// upload sends one upload and reports whether the client sent all of it and got 200.
-func upload(f *harness.Fleet, m *harness.Machine, id string) bool {
-	c, err := harness.Dial(m)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = c.Close() }()
-	f.Record.Line("client: %s sent to %s", id, m.Name)
-	sent := make(chan error, 1)
-	go func() {
-		_, err := c.Write(harness.Head(http.MethodPost, "/photos/1", id, clientLimit, bodySize))
-		for rest := body(id); len(rest) > 0 && err == nil; rest = rest[pieceSize:] {
-			_, err = c.Write(rest[:pieceSize])
-			time.Sleep(pieceGap)
-		}
-		sent <- err
-	}()
-	r, text, err := c.Response(http.MethodPost, time.Now().Add(clientLimit))
-	if err != nil {
-		f.Record.Line("client: %s: %v", id, err)
-		return false
-	}
-	sendErr := <-sent
-	f.Record.Line("client: %s got %s %q, all sent: %v", id, r.Status, text, sendErr == nil)
-	return r.StatusCode == http.StatusOK && sendErr == nil
+	f.Record.Line("%d of %d answers were broken off while their endpoint was silent", lost, requests)
+	fmt.Printf("%d of %d answers broken off\n", lost, requests)
+	return lost > 0, nil
 }
