--- a/review/standin-3/harness/fleet.go
+++ b/review/standin-3/harness/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -269,6 +270,7 @@
 
 // Route is a route of the deployment's config.
 type Route struct {
+	Host                           string // Host if empty
 	Prefix, Kind, Timeout, Service string
 	Attempts                       int
 }
@@ -284,7 +286,7 @@
 func Config(version uint64, routes map[string]Route, services []string) []byte {
 	r, s := map[string]any{}, map[string]any{}
 	for name, route := range routes {
-		r[name] = map[string]any{"host": Host, "pathPrefix": route.Prefix, "kind": route.Kind, "timeout": route.Timeout, "targetLatency": "800ms",
+		r[name] = map[string]any{"host": cmp.Or(route.Host, Host), "pathPrefix": route.Prefix, "kind": route.Kind, "timeout": route.Timeout, "targetLatency": "800ms",
 			"priority": 1, "service": route.Service, "attempts": route.Attempts, "allowAnonymous": false, "stickySessions": false, "homeRegions": []string{}}
 	}
 	for _, name := range services {
@@ -296,17 +298,23 @@
 	return data
 }
 
-// Replace sends a complete config that builds on the newest one.
-func (f *Fleet) Replace(version uint64, routes map[string]Route, services []string) error {
+// SendConfig sends a complete config that builds on the newest one, and returns the answer.
+func (f *Fleet) SendConfig(version uint64, routes map[string]Route, services []string) (status int, answer []byte, err error) {
 	header := http.Header{"Base-Version": {fmt.Sprintf("%08x", f.version)}}
-	status, answer, err := f.Call(http.MethodPost, "/configuration/replace", header, Config(version, routes, services), 20*time.Second)
-	if err == nil && status != http.StatusOK {
-		err = fmt.Errorf("config %d was refused with %d: %s", version, status, answer)
-	}
-	if err == nil {
+	status, answer, err = f.Call(http.MethodPost, "/configuration/replace", header, Config(version, routes, services), 20*time.Second)
+	if err == nil && status == http.StatusOK {
 		f.Record.Line("operator: config %08x acknowledged", version)
 		f.version = version
 	}
+	return status, answer, err
+}
+
+// Replace sends a complete config that must be accepted.
+func (f *Fleet) Replace(version uint64, routes map[string]Route, services []string) error {
+	status, answer, err := f.SendConfig(version, routes, services)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("config %d was refused with %d: %s", version, status, answer)
+	}
 	return err
 }
 
