--- a/review/standin-3/case13/main.go
+++ b/review/standin-3/case13/main.go
@@ -45,6 +45,8 @@
 	routes := map[string]harness.Route{
 		"r-claims":  {Prefix: "/claims/", Kind: "unsafe", Timeout: "2500ms", Service: bookingService, Attempts: 2},
 		"r-lookups": {Prefix: "/lookups/", Kind: "safe", Timeout: "2500ms", Service: lookupService, Attempts: 2},
+		"r-photos":  {Prefix: "/photos/", Kind: "upload", Timeout: "3000ms", Service: bookingService, Attempts: 2},
+		"r-status":  {Prefix: "/status/", Kind: "safe", Timeout: "2500ms", Service: lookupService, Attempts: 2},
 	}
 	services := []string{bookingService, lookupService}
 	if err := f.Replace(1, routes, services); err != nil {
@@ -65,7 +67,7 @@
 	acknowledged, version := false, uint64(2)
 	if harness.Trouble() {
 		// The same host and prefix as r-claims, with the host in other letters.
-		routes["r-lookups-2"] = harness.Route{Host: strings.ToUpper(harness.Host[:1]) + harness.Host[1:], Prefix: "/claims/", Kind: "safe", Timeout: "2500ms",
+		routes["r-twice"] = harness.Route{Host: strings.ToUpper(harness.Host[:1]) + harness.Host[1:], Prefix: "/claims/", Kind: "safe", Timeout: "2500ms",
 			Service: lookupService, Attempts: 2}
 		status, answer, err := f.SendConfig(version, routes, services)
 		if err != nil {
@@ -75,7 +77,7 @@
 		if acknowledged = status == http.StatusOK; acknowledged {
 			version++
 		} else {
-			delete(routes, "r-lookups-2")
+			delete(routes, "r-twice")
 		}
 	}
 	foreign, sent := 0, 0
