--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -137,11 +137,10 @@
 		return protocol.ProposeReply{}, nil
 	}
 	if err == nil && cmd.Change != nil {
-		if result, settled := c.settled(cmd.Change); settled {
-			return protocol.ProposeReply{Result: result}, nil
-		}
-		if result := c.checkSize(cmd.Change); result.Code != "" {
-			return protocol.ProposeReply{Result: result}, nil
+		// The member that got the change may be of an earlier build, which does not review it.
+		result, final, err := c.reviewChange(ctx, cmd.Change, nil)
+		if final || err != nil {
+			return protocol.ProposeReply{Result: result}, err
 		}
 		data = c.minimize(cmd, data)
 	}
@@ -160,19 +159,6 @@
 	return protocol.ProposeReply{Result: r}, nil
 }
 
-// settled returns the result of a change if it is certain already. Operators repeat a change whose answer was late, and a
-// large one would take as long again.
-func (c *Coordinator) settled(change *catalog.Change) (result registry.Result, settled bool) {
-	c.opts.StateMachine.view(func(r *registry.Registry) { result, settled = r.Settled(change) })
-	return result, settled
-}
-
-// checkSize returns the result of a change that would make the catalog longer than VMs can read, or an empty one.
-func (c *Coordinator) checkSize(change *catalog.Change) (result registry.Result) {
-	c.opts.StateMachine.view(func(r *registry.Registry) { result = r.CheckSize(change) })
-	return result
-}
-
 // minimize returns a command with a change of the catalog without what the leader's catalog has already. The member that
 // got the change could not leave it out if it had not applied the change's base yet.
 func (c *Coordinator) minimize(cmd registry.Command, data []byte) []byte {
@@ -224,15 +210,6 @@
 	return c.proposeLocally(ctx, body)
 }
 
-// Change replicates a change of the catalog.
-func (c *Coordinator) Change(ctx context.Context, change *catalog.Change) (registry.Result, error) {
-	if result, settled := c.settled(change); settled {
-		return result, nil
-	}
-	c.opts.StateMachine.view(func(r *registry.Registry) { change = r.Catalog.Minimize(change) })
-	return c.Submit(ctx, registry.Command{Change: change})
-}
-
 // Announce records the state that an upstream announces about itself. It returns once any change is durable. It returns an
 // error if this member knows no leader, to which it could report that the upstream is alive; the upstream then
 // announces itself to another member.
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -194,7 +194,7 @@
 		var result registry.Result
 		eventually(t, "a catalog change is accepted", func() bool {
 			var err error
-			result, err = m.Change(ctx, catalogChange(catalog.Version(i), catalog.Version(i+1), string(rune('a'+i))))
+			result, err = m.Change(ctx, catalogChange(catalog.Version(i), catalog.Version(i+1), string(rune('a'+i))), nil)
 			return err == nil
 		})
 		is.Equal(result.Code, fault.Code(""))
@@ -204,7 +204,7 @@
 			is.Equal(c.Version, catalog.Version(i+1))
 		}
 	}
-	result, err := all[0].Change(ctx, catalogChange(1, 9, "late"))
+	result, err := all[0].Change(ctx, catalogChange(1, 9, "late"), nil)
 	is.NoErr(err)
 	is.Equal(result.Code, fault.Conflict)
 }
--- a/control/coordinator/drain.go
+++ b/control/coordinator/drain.go
@@ -30,22 +30,10 @@
 // RunOf returns the start of the registered run of an upstream, in Unix milliseconds, after all that was committed when it was
 // called. Known is false if the upstream is not registered.
 func (c *Coordinator) RunOf(ctx context.Context, id registry.UpstreamID) (startedAt int64, known bool, err error) {
-	position, err := c.OrderPosition(ctx)
-	if err != nil {
-		return 0, false, err
-	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	for {
-		index, changed := c.opts.StateMachine.watch()
-		if index+1 >= position {
-			break
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return 0, false, fault.Wrap(ctx.Err(), fault.Deadline, "leave", string(id))
-		}
+	if err := c.catchUp(ctx); err != nil {
+		return 0, false, err
 	}
 	c.opts.StateMachine.view(func(r *registry.Registry) {
 		var u registry.Upstream
--- a/control/coordinator/repeat_test.go
+++ b/control/coordinator/repeat_test.go
@@ -25,7 +25,7 @@
 	ctx := context.Background()
 	for i, ch := range []*catalog.Change{catalogChange(0, 1, "a"), catalogChange(1, 2, "b")} {
 		eventually(t, fmt.Sprintf("change %d is accepted", i), func() bool {
-			result, err := members[i].Change(ctx, ch)
+			result, err := members[i].Change(ctx, ch, nil)
 			return err == nil && result == registry.Result{}
 		})
 	}
@@ -44,10 +44,10 @@
 	})
 	for _, m := range members {
 		for range 3 {
-			result, err := m.Change(ctx, catalogChange(0, 1, "a"))
+			result, err := m.Change(ctx, catalogChange(0, 1, "a"), nil)
 			is.NoErr(err)
 			is.Equal(result, registry.Result{})
-			result, err = m.Change(ctx, catalogChange(1, 3, "of an earlier version"))
+			result, err = m.Change(ctx, catalogChange(1, 3, "of an earlier version"), nil)
 			is.NoErr(err)
 			is.Equal(result.Code, fault.Conflict)
 		}
--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -1,9 +1,10 @@
 package catalog
 
 import (
+	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -88,40 +89,73 @@
 // Table is an index of one catalog version, by host, path prefix and workspace key.
 type Table struct {
 	Catalog        *Catalog
-	routesByHost   map[string][]*Route // longest prefix first
+	routesByHost   map[string][]placedRoute // longest prefix first
 	workspaceByKey map[string]*Workspace
 }
 
-// NewTable returns an index of a catalog, which must not be modified afterwards.
+// placedRoute is a route with its canonical prefix.
+type placedRoute struct {
+	route  *Route
+	prefix string
+}
+
+// NewTable returns an index of a catalog, which must not be modified afterwards. All VMs get the same index of the same
+// catalog, also of one that an earlier build accepted and in which routes or workspaces cannot be told apart.
 func NewTable(c *Catalog) *Table {
-	t := &Table{Catalog: c, routesByHost: map[string][]*Route{}, workspaceByKey: map[string]*Workspace{}}
+	t := &Table{Catalog: c, routesByHost: map[string][]placedRoute{}, workspaceByKey: map[string]*Workspace{}}
 	for _, r := range c.Routes {
-		host := strings.ToLower(r.Host)
-		t.routesByHost[host] = append(t.routesByHost[host], &r)
+		at, _ := placeOf(&r) // a host that cannot be read is looked up in lower case
+		t.routesByHost[at.host] = append(t.routesByHost[at.host], placedRoute{&r, at.prefix})
 	}
 	for _, routes := range t.routesByHost {
-		sort.Slice(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+		slices.SortFunc(routes, func(a, b placedRoute) int {
+			return cmp.Or(cmp.Compare(len(b.prefix), len(a.prefix)), strings.Compare(a.prefix, b.prefix), strings.Compare(a.route.Name, b.route.Name))
+		})
 	}
-	for _, w := range c.Workspaces {
+	t.indexKeys(func(key string) bool { return key == CanonicalKey(key) })
+	t.indexKeys(func(string) bool { return true })
+	return t
+}
+
+// indexKeys adds the workspaces' keys that a condition holds for, unless a workspace with a key of the same form is there
+// already. A workspace without a key is not found by an empty one.
+func (t *Table) indexKeys(includes func(key string) bool) {
+	for _, name := range slices.Sorted(maps.Keys(t.Catalog.Workspaces)) {
+		w := t.Catalog.Workspaces[name]
 		for _, k := range w.Keys {
-			t.workspaceByKey[k] = &w
+			canonical := CanonicalKey(k)
+			if _, taken := t.workspaceByKey[canonical]; !taken && canonical != "" && includes(k) {
+				t.workspaceByKey[canonical] = &w
+			}
 		}
 	}
-	return t
 }
 
-// Route returns the route of a host with the longest prefix that matches path, or nil.
+// Route returns the route of a host with the longest prefix that matches path, or nil. Of routes that share both, it returns
+// the one that is spelled as the request, or else the first by name.
 func (t *Table) Route(host, path string) *Route {
-	for _, r := range t.routesByHost[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+	var found *placedRoute
+	routes, canonical := t.routesByHost[CanonicalHost(host)], canonicalPath(path)
+	for i := range routes {
+		r := &routes[i]
+		switch {
+		case found != nil && r.prefix != found.prefix:
+			return found.route
+		case !strings.HasPrefix(canonical, r.prefix):
+		case strings.EqualFold(r.route.Host, host) && strings.HasPrefix(path, r.route.Prefix):
+			return r.route
+		case found == nil:
+			found = r
 		}
 	}
-	return nil
+	if found == nil {
+		return nil
+	}
+	return found.route
 }
 
 // Workspace returns the workspace that a key belongs to, or nil.
-func (t *Table) Workspace(key string) *Workspace { return t.workspaceByKey[key] }
+func (t *Table) Workspace(key string) *Workspace { return t.workspaceByKey[CanonicalKey(key)] }
 
 // HasWorkspaces reports whether the catalog defines workspaces, in which case requests need a key.
 func (t *Table) HasWorkspaces() bool { return len(t.Catalog.Workspaces) > 0 }
--- a/fleet/catalog/change.go
+++ b/fleet/catalog/change.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"iter"
 	"maps"
+	"slices"
 	"time"
 
 	"cuminfall.example/fleet/fault"
@@ -104,23 +106,117 @@
 	return minimal
 }
 
-// hostPrefix is a combination of host and path prefix, which must be unique among routes.
-type hostPrefix struct{ host, prefix string }
-
-// Check returns the first error found in a catalog, with the code fault.Invalid, or nil.
+// Check returns the first error found in a catalog, by the names of its items, with the code fault.Invalid, or nil. All members
+// and VMs apply it to the changes in the log, so what it accepts must stay the same in all builds; CheckChange is stricter.
 func (c *Catalog) Check() error {
-	routeNames := map[hostPrefix]string{}
-	for name, r := range c.Routes {
+	if c.check(maps.Keys(c.Routes), maps.Keys(c.Workspaces)) == nil {
+		return nil
+	}
+	return c.check(slices.Values(slices.Sorted(maps.Keys(c.Routes))), slices.Values(slices.Sorted(maps.Keys(c.Workspaces))))
+}
+
+func (c *Catalog) check(routes iter.Seq[string], workspaces iter.Seq[ident.Workspace]) error {
+	names := map[place]string{}
+	for name := range routes {
+		r := c.Routes[name]
 		if err := c.checkRoute(name, &r); err != nil {
 			return err
 		}
-		key := hostPrefix{r.Host, r.Prefix}
-		if other, taken := routeNames[key]; taken {
-			return fault.New(fault.Invalid, checkStep, "", "routes %q and %q share host %q and prefix %q", other, name, r.Host, r.Prefix)
+		at := place{r.Host, r.Prefix}
+		if other, taken := names[at]; taken {
+			return sharedPlaceError(other, name, at)
+		}
+		names[at] = name
+	}
+	owners := map[string]ident.Workspace{}
+	for name := range workspaces {
+		for _, k := range c.Workspaces[name].Keys {
+			if other, taken := owners[k]; taken && other != name {
+				return sharedKeyError(other, name)
+			}
+			owners[k] = name
+		}
+	}
+	return nil
+}
+
+func sharedPlaceError(a, b string, at place) error {
+	return fault.New(fault.Invalid, checkStep, "", "routes %q and %q share host %q and prefix %q", a, b, at.host, at.prefix)
+}
+
+// sharedKeyError rejects a key that two workspaces share, because it would not identify the workspace of a request.
+func sharedKeyError(a, b ident.Workspace) error {
+	return fault.New(fault.Invalid, checkStep, "", "workspaces %q and %q share a key", a, b)
+}
+
+// CheckChange returns the first error, with the code fault.Invalid, of what a change has brought into the catalog that resulted
+// from it, or nil. Besides what Check rejects, these are items that only their spelling tells apart from another. A patch is not
+// rejected for items that it leaves as they are, so that a catalog of an earlier build can be corrected one item at a time.
+func (c *Catalog) CheckChange(ch *Change) error {
+	if err := checkPlaces(c.Routes, ch.Routes); err != nil {
+		return err
+	}
+	return checkKeys(c.Workspaces, ch.Workspaces)
+}
+
+// checkPlaces returns an error if the host of a changed route cannot be read, or if the route shares its place with another.
+func checkPlaces(all, changed map[string]Route) error {
+	if len(changed) == 0 {
+		return nil
+	}
+	names := map[place][]string{}
+	for name, r := range all {
+		at, _ := placeOf(&r) // an error counts for changed routes only
+		names[at] = append(names[at], name)
+	}
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		r := changed[name]
+		at, err := placeOf(&r)
+		switch {
+		case err != nil:
+			return fault.New(fault.Invalid, checkStep, "", "host %q of route %q cannot be read: %v", r.Host, name, err)
+		case at.host == "":
+			return fault.New(fault.Invalid, checkStep, "", "route %q has host %q, expected a name", name, r.Host)
+		}
+		for _, other := range slices.Sorted(slices.Values(names[at])) {
+			if other != name {
+				return sharedSpellingError(name, &r, other, all[other])
+			}
 		}
-		routeNames[key] = name
 	}
-	return c.checkKeys()
+	return nil
+}
+
+func sharedSpellingError(name string, r *Route, otherName string, other Route) error {
+	return fault.New(fault.Invalid, checkStep, "", "routes %q and %q share host and prefix: %q and %q, %q and %q", name, otherName,
+		r.Host, other.Host, r.Prefix, other.Prefix)
+}
+
+// checkKeys returns an error if a key of a changed workspace is empty or belongs to another workspace, too.
+func checkKeys(all, changed map[ident.Workspace]Workspace) error {
+	if len(changed) == 0 {
+		return nil
+	}
+	owners := map[string][]ident.Workspace{}
+	for name, w := range all {
+		for _, k := range w.Keys {
+			owners[CanonicalKey(k)] = append(owners[CanonicalKey(k)], name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		for _, k := range changed[name].Keys {
+			canonical := CanonicalKey(k)
+			if canonical == "" {
+				return fault.New(fault.Invalid, checkStep, "", "workspace %q has an empty key", name)
+			}
+			for _, other := range slices.Sorted(slices.Values(owners[canonical])) {
+				if other != name {
+					return sharedKeyError(name, other)
+				}
+			}
+		}
+	}
+	return nil
 }
 
 func (c *Catalog) checkRoute(name string, r *Route) error {
@@ -147,17 +243,3 @@
 	}
 	return nil
 }
-
-// checkKeys rejects a key that two workspaces share, because it would not identify the workspace of a request.
-func (c *Catalog) checkKeys() error {
-	owners := map[string]ident.Workspace{}
-	for name, w := range c.Workspaces {
-		for _, k := range w.Keys {
-			if other, taken := owners[k]; taken && other != name {
-				return fault.New(fault.Invalid, checkStep, "", "workspaces %q and %q share a key", other, name)
-			}
-			owners[k] = name
-		}
-	}
-	return nil
-}
--- a/fleet/registry/registry.go
+++ b/fleet/registry/registry.go
@@ -162,47 +162,72 @@
 		return nil, Result{}
 	}
 	if ch.Base != r.Version() {
-		return nil, Result{Code: fault.Conflict, Reason: "the base version is not the current version"}
+		return nil, baseConflict
 	}
 	if ch.Version <= r.Version() {
 		return nil, Result{Code: fault.Invalid, Reason: "the new version must be greater than the current version"}
 	}
-	base := r.Catalog
-	if base == nil {
-		base = &catalog.Catalog{}
-	}
-	next := base.Apply(ch)
+	next := r.baseCatalog().Apply(ch)
 	if err := next.Check(); err != nil {
 		return nil, Result{Code: fault.Invalid, Reason: fault.Of(err).Message}
 	}
 	return next, Result{}
 }
 
-// Settled returns the result of a change that no later command can alter, because the change was accepted before or
-// replaces an earlier version.
-func (r *Registry) Settled(ch *catalog.Change) (result Result, settled bool) {
-	if r.acceptedSet[ch.Digest] || ch.Base < r.Version() {
-		_, result = r.Validate(ch)
-		return result, true
-	}
-	return Result{}, false
+// Assessment says what is known about a change of the catalog before it is replicated.
+type Assessment int
+
+// Assessments.
+const (
+	Acceptable  Assessment = iota // it builds on the current version, and nothing speaks against it
+	Settled                       // it was accepted before or replaces an earlier version; no later command can alter that
+	Refused                       // it builds on the current version and is invalid
+	BaseUnknown                   // it builds on a version that this registry does not have yet, or that does not exist
+)
+
+// String returns the name of an assessment for log lines.
+func (a Assessment) String() string {
+	return [...]string{"acceptable", "settled", "refused", "base unknown"}[a]
 }
 
-// CheckSize returns the result of a change that would make the catalog longer than MaxCatalogBytes, or an empty one. A catalog
-// that is too long already may be shortened. Apply does not check it: members of earlier builds accept such a change.
-func (r *Registry) CheckSize(ch *catalog.Change) Result {
-	if ch.Base != r.Version() {
-		return Result{}
+// Assess returns what is known about a change, and the result that its sender gets unless the change is Acceptable. An
+// objection is an error of the change's text.
+//
+// Each version number is that of one catalog only, so what holds on top of the base still holds when the change is applied: there it
+// is accepted on this base or not at all. Apply does not repeat what is stricter here than in Validate, as members and VMs of earlier
+// builds, which must reach the same state from the same log, accept more.
+func (r *Registry) Assess(ch *catalog.Change, objection error) (Assessment, Result) {
+	switch version := r.Version(); {
+	case r.acceptedSet[ch.Digest]:
+		return Settled, Result{}
+	case ch.Base < version:
+		return Settled, baseConflict
+	case ch.Base > version:
+		return BaseUnknown, baseConflict
+	case objection != nil:
+		return Refused, Result{Code: fault.Invalid, Reason: fault.Of(objection).Message}
+	}
+	next, result := r.Validate(ch)
+	if next == nil {
+		return Refused, result
 	}
-	base := r.Catalog
-	if base == nil {
-		base = &catalog.Catalog{}
+	if err := next.CheckChange(ch); err != nil {
+		return Refused, Result{Code: fault.Invalid, Reason: fault.Of(err).Message}
 	}
-	size := base.Apply(ch).EncodedSize()
-	if size <= MaxCatalogBytes || size < base.EncodedSize() {
-		return Result{}
+	if size := next.EncodedSize(); size > MaxCatalogBytes && size >= r.baseCatalog().EncodedSize() { // one that is too long may be shortened
+		return Refused, Result{Code: fault.Invalid, Reason: fmt.Sprintf("the configuration would have %d bytes, expected at most %d", size, MaxCatalogBytes)}
+	}
+	return Acceptable, Result{}
+}
+
+var baseConflict = Result{Code: fault.Conflict, Reason: "the base version is not the current version"}
+
+// baseCatalog returns the catalog, which is empty before the first change.
+func (r *Registry) baseCatalog() *catalog.Catalog {
+	if r.Catalog == nil {
+		return &catalog.Catalog{}
 	}
-	return Result{Code: fault.Invalid, Reason: fmt.Sprintf("the configuration would have %d bytes, expected at most %d", size, MaxCatalogBytes)}
+	return r.Catalog
 }
 
 func (r *Registry) applyChange(ch *catalog.Change) Result {
--- a/fleet/registry/registry_test.go
+++ b/fleet/registry/registry_test.go
@@ -47,20 +47,22 @@
 func TestSettledChanges(t *testing.T) {
 	is := is.New(t)
 	r := New()
-	settled := func(ch *catalog.Change) (Result, bool) { return r.Settled(ch) }
-	_, ok := settled(newChange(0, 5, "a"))
-	is.True(!ok)
+	expect := func(ch *catalog.Change, objection error, want Assessment, code fault.Code) {
+		t.Helper()
+		assessment, result := r.Assess(ch, objection)
+		is.Equal(assessment, want)
+		is.Equal(result.Code, code)
+	}
+	ambiguous := fault.New(fault.Invalid, "decode", "", "a member is there twice")
+	expect(newChange(0, 5, "a"), nil, Acceptable, "")
+	expect(newChange(0, 5, "a"), ambiguous, Refused, fault.Invalid)
 	r.Apply(1, Command{Change: newChange(0, 5, "a")})
-	result, ok := settled(newChange(0, 5, "a"))
-	is.True(ok)
-	is.Equal(result, Result{})
-	result, ok = settled(newChange(0, 6, "b")) // of an earlier version
-	is.True(ok)
-	is.Equal(result.Code, fault.Conflict)
-	_, ok = settled(newChange(5, 6, "c"))
-	is.True(!ok)
-	_, ok = settled(newChange(9, 10, "d")) // version 9 may be on its way
-	is.True(!ok)
+	expect(newChange(0, 5, "a"), nil, Settled, "")
+	expect(newChange(0, 5, "a"), ambiguous, Settled, "") // accepted by an earlier build
+	expect(newChange(0, 6, "b"), nil, Settled, fault.Conflict)
+	expect(newChange(5, 6, "c"), nil, Acceptable, "")
+	expect(newChange(5, 5, "c"), nil, Refused, fault.Invalid)
+	expect(newChange(9, 10, "d"), nil, BaseUnknown, fault.Conflict) // version 9 may be on its way
 }
 
 func announcement(id UpstreamID, address ident.Address, startedAt int64, sequence uint64, state State) *Upstream {
@@ -129,18 +131,22 @@
 	}
 	apply := func(ch *catalog.Change) { is.Equal(r.Apply(r.Index+1, Command{Change: ch}), Result{}) }
 	count := 0
-	for ; r.CheckSize(patch(fmt.Sprint(count))) == (Result{}); count++ {
+	check := func(ch *catalog.Change) Result {
+		_, result := r.Assess(ch, nil)
+		return result
+	}
+	for ; check(patch(fmt.Sprint(count))) == (Result{}); count++ {
 		apply(patch(fmt.Sprint(count)))
 	}
 	is.Equal(count, int(MaxCatalogBytes>>20)-1)
-	is.Equal(r.CheckSize(patch("more")).Code, fault.Invalid)
-	is.Equal(r.CheckSize(patch("0")), Result{}) // replaces a route
+	is.Equal(check(patch("more")).Code, fault.Invalid)
+	is.Equal(check(patch("0")), Result{}) // replaces a route
 
 	apply(patch("more", "most")) // as members of an earlier build accept it
 	shorter, longer := patch(), patch("x")
 	shorter.Remove.Routes = []string{"most"}
-	is.Equal(r.CheckSize(shorter), Result{}) // still too long, but less so
-	is.Equal(r.CheckSize(longer).Code, fault.Invalid)
+	is.Equal(check(shorter), Result{}) // still too long, but less so
+	is.Equal(check(longer).Code, fault.Invalid)
 	longer.Base--
-	is.Equal(r.CheckSize(longer), Result{}) // left to Apply, which refuses the base
+	is.Equal(check(longer).Code, fault.Conflict)
 }
