proxy: one fingerprint for all spellings of a request's host

Seen by upstreams: a request that crashes them and is quarantined was sent again when its Host came in capitals, with a port or with a last dot, though it has the same route; each spelling had three crashes of its own.

Cause: the fingerprint held the host, and for a target in absolute form the whole URL, as it was written. Change: the host is the one of the look-up, catalog.CanonicalHost. Fingerprints of hosts in lower case without a port, which VMs of both builds share, stay the same.

--- a/entry/proxy/quarantine.go
+++ b/entry/proxy/quarantine.go
@@ -13,6 +13,7 @@
 	"cuminfall.example/entry/balancer"
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/quarantine"
+	"cuminfall.example/fleet/catalog"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/observation"
 	"cuminfall.example/fleet/registry"
@@ -111,7 +112,11 @@
 // requestHead returns the part of the request's fingerprint that is known before its body.
 func (c *call) requestHead() quarantine.Head {
 	if c.suspicion.head == "" {
-		c.suspicion.head = quarantine.HeadOf(c.r.Method, c.r.Host, c.r.RequestURI, c.workspace, int64(c.bodySize))
+		uri := c.r.RequestURI
+		if c.r.URL.IsAbs() {
+			uri = c.r.URL.RequestURI() // without the host
+		}
+		c.suspicion.head = quarantine.HeadOf(c.r.Method, catalog.CanonicalHost(c.r.Host), uri, c.workspace, int64(c.bodySize))
 	}
 	return c.suspicion.head
 }
