coordinator: answer look-ups in order

Change: the VMs are sorted; of more than the limit each look-up gets those that follow the ones of the look-up before, so that all get callers alike.

--- a/control/coordinator/coordinator.go
+++ b/control/coordinator/coordinator.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,6 +64,7 @@
 	floor    registryFloor
 	drains   orderQueue
 	keeping  singleflight.Group
+	lookups  atomic.Uint64 // that were answered with a part of the VMs
 	stopping chan struct{} // closed when followers must use another member
 
 	mu             sync.Mutex
@@ -268,10 +271,11 @@
 	return c.latestCatalog(ctx)
 }
 
-// EntryAddresses returns the entry VMs that callers of a region should connect to. These are the VMs of all failure
-// domains of the region, so that a domain with many callers does not overload its own VMs while the others are idle.
-// If the region has no VM, all VMs are returned.
-func (c *Coordinator) EntryAddresses(region ident.Region, regions map[ident.Domain]ident.Region) []ident.Address {
+// EntryAddresses returns at most limit entry VMs that callers of a region should connect to, in order. These are the VMs of all
+// failure domains of the region, so that a domain with many callers does not overload its own VMs while the others are idle.
+// If the region has no VM, all VMs are returned. Where there are more than limit, each look-up gets those that follow the ones of
+// the look-up before, so that all VMs get callers.
+func (c *Coordinator) EntryAddresses(region ident.Region, regions map[ident.Domain]ident.Region, limit int) []ident.Address {
 	var same, all []ident.Address
 	c.opts.StateMachine.view(func(r *registry.Registry) {
 		for _, v := range r.VMs {
@@ -284,10 +288,17 @@
 			}
 		}
 	})
-	if len(same) > 0 {
+	if len(same) == 0 {
+		same = all
+	}
+	slices.Sort(same)
+	if len(same) <= limit {
 		return same
 	}
-	return all
+	first := int((c.lookups.Add(1) - 1) * uint64(limit) % uint64(len(same)))
+	window := append(same[first:], same[:first]...)[:limit]
+	slices.Sort(window)
+	return window
 }
 
 // callLeader forwards a request that only the leader can answer.
--- a/control/coordinator/coordinator_test.go
+++ b/control/coordinator/coordinator_test.go
@@ -268,13 +268,13 @@
 		return client.Call(ctx, all[1].address, protocol.ReportPath, q, &reply) == nil
 	}
 	regions := map[ident.Domain]ident.Region{"of-a": "r", "of-b": "r", "of-c": "far"}
-	returned := func() int { return len(all[0].EntryAddresses("r", regions)) }
+	returned := func() int { return len(all[0].EntryAddresses("r", regions, 64)) }
 	// The VMs of one domain alone would be overloaded by many callers.
 	eventually(t, "two VMs are returned", func() bool { return report("a", true) && report("b", true) && report("c", true) && returned() == 2 })
 	is.True(report("a", false))
 	eventually(t, "the stopping VM is no longer returned", func() bool { return report("b", true) && report("c", true) && returned() == 1 })
 	eventually(t, "the VM of another region is returned to a region without VMs", func() bool {
-		list := all[0].EntryAddresses("r", regions)
+		list := all[0].EntryAddresses("r", regions, 64)
 		return report("c", true) && len(list) == 1 && list[0] == "c"
 	})
 	eventually(t, "the silent VMs are no longer returned", func() bool { return returned() == 0 })
