document: one reading of each section, address and call of README's interface

Seen by operators: a section with prefix and Prefix in one table was accepted, and each member and entry VM took one of the two, by chance; two wrong values gave one or the other error, which members store as the change's outcome. Two blocks of one range, two monitors with one credential and drains of 10.0.0.1:080 were accepted, and the drain never met the upstream.

Cause: the TOML library takes keys in any letters, in the order of a map. Addresses were compared as they were written.

Change: Parse decodes such texts in the order of their keys, the exact one last, so that members come to one state. What is ambiguous is refused by the leader before it reaches the log, unless the section has it already or the change is repeated; Check and its texts stay. Calls of upstreams and monitors are decoded by exactjson, and addresses have one form.

--- a/control/ledger/change.go
+++ b/control/ledger/change.go
@@ -170,6 +170,9 @@
 	return &rpc.ApplyReply{State: rpc.ApplyState_APPLY_STATE_ACCEPTED, Revision: s.GetRevision()}
 }
 
+// HasOutcome reports whether the ledger has the reply to a change with an id.
+func (l *Ledger) HasOutcome(id ident.ChangeID) bool { return l.outcomes[id] != nil }
+
 // conflictingChange returns the earliest change of the section after the base revision, or nil if
 // the audit trail no longer has it.
 func (l *Ledger) conflictingChange(section document.Section, base uint64) *rpc.Change {
--- a/control/server/initcmd/init.go
+++ b/control/server/initcmd/init.go
@@ -70,6 +70,9 @@
 // bootstrapEntry returns the first log entry of a group. It applies the entry to an empty ledger first,
 // so that an invalid owners section is reported here.
 func bootstrapEntry(owners string) ([]byte, error) {
+	if problems, _ := document.Ambiguities(document.OwnersSection, owners); len(problems) > 0 { // the ledger reports other errors
+		return nil, fault.New(fault.Invalid, "check owners", string(document.OwnersSection), "%s", problems[0])
+	}
 	data, err := ledger.Encode(ledger.Bootstrap{Found: &wire.Found{Owners: owners}})
 	if err != nil {
 		return nil, err
--- a/control/server/operations.go
+++ b/control/server/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"cuminfall.example/control/ledger"
 	"cuminfall.example/control/ledger/wire"
@@ -20,6 +21,14 @@
 		}
 		return nil, fault.Twirp(err)
 	}
+	if err := s.checkAmbiguities(r); err != nil {
+		f := fault.Of(err)
+		if f.Code != fault.Invalid {
+			return nil, fault.Twirp(err)
+		}
+		s.countRefusal(f)
+		return &rpc.ApplyReply{State: rpc.ApplyState_APPLY_STATE_REFUSED, Reason: f.Message, Code: string(f.Code)}, nil
+	}
 	result, err := s.propose(ctx, "apply change", ledger.Change{Change: &wire.Change{
 		Section: r.GetSection(), Base: r.GetBase(), Id: r.GetId(), Operator: r.GetOperator(), Hash: hash, Text: r.GetText(),
 	}})
@@ -37,6 +46,34 @@
 	return reply, nil
 }
 
+// checkAmbiguities returns an error with the code fault.Invalid if the new text of a section has ambiguities that the current one
+// does not have. Members of earlier builds accept them, so they are kept out of the log; one that is there already may stay, so
+// that a section can be corrected one item at a time. All other errors, and the reply to a change that is repeated, come from the ledger.
+func (s *Server) checkAmbiguities(r *rpc.ApplyRequest) error {
+	section := document.Section(r.GetSection())
+	problems, err := document.Ambiguities(section, r.GetText())
+	if err != nil || len(problems) == 0 {
+		return nil
+	}
+	return s.readCommitted("apply change", func() error {
+		if s.ledger.HasOutcome(ident.ChangeID(r.GetId())) {
+			return nil
+		}
+		var current []string
+		for _, held := range s.ledger.Sections() {
+			if held.GetName() == r.GetSection() {
+				current, _ = document.Ambiguities(section, held.GetText()) // a text in the ledger was parsed before
+			}
+		}
+		for _, problem := range problems {
+			if !slices.Contains(current, problem) {
+				return fault.New(fault.Invalid, "apply change", r.GetSection(), "%s", problem)
+			}
+		}
+		return nil
+	})
+}
+
 // checkOperator returns an error unless the hash is that of the operator's credential.
 func (s *Server) checkOperator(step, operator, hash string) error {
 	return s.precheck(step, func() error { _, err := s.ledger.Operator(ident.Operator(operator), hash); return err })
--- a/control/server/refusal_test.go
+++ b/control/server/refusal_test.go
@@ -72,3 +72,57 @@
 		is.NoErr(err)
 	}
 }
+
+// Guards against a section of the document that is read in one of several ways as chance has it, and against one that an earlier
+// build accepted and that can no longer be corrected item by item.
+func TestAmbiguousSectionIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 0, 0, 0)
+	s.setUp(0)
+	n := 0
+	apply := func(base uint64, id, text string) *rpc.ApplyReply {
+		t.Helper()
+		reply, err := s.leader.server.Apply(context.Background(), &rpc.ApplyRequest{Section: "places", Base: base, Id: id, Operator: "op", Credential: "c", Text: text})
+		is.NoErr(err)
+		n++
+		return reply
+	}
+	revision := func() (r uint64) {
+		for _, x := range s.leader.ledger.Sections() {
+			if x.GetName() == "places" {
+				r = x.GetRevision()
+			}
+		}
+		return r
+	}
+	text := ""
+	for _, x := range s.leader.ledger.Sections() {
+		if x.GetName() == "places" {
+			text = x.GetText()
+		}
+	}
+	region := string(s.leader.ledger.Document().Topology.Regions[0].Name)
+	block := func(prefix string) string {
+		return fmt.Sprintf("[[block]]\nprefix = %q\nregion = %q\n", prefix, region)
+	}
+	misspelled := text + fmt.Sprintf("[[block]]\nPrefix = \"10.9.0.0/16\"\nprefix = \"10.8.0.0/16\"\nregion = %q\n", region)
+	for _, ambiguous := range []string{misspelled, text + block("10.0.0.0/8") + block("10.1.0.0/8")} {
+		for _, base := range []uint64{revision(), revision() + 1} {
+			reply := apply(base, fmt.Sprint("new", n), ambiguous)
+			is.Equal(reply.GetState(), rpc.ApplyState_APPLY_STATE_REFUSED)
+			is.Equal(reply.GetCode(), string(fault.Invalid))
+		}
+	}
+	held := text + block("10.0.0.0/8") + block("10.1.0.0/8") + block("11.0.0.0/8") + block("11.1.0.0/8")
+	s.setSection("places", held) // as an earlier build accepts it
+	is.Equal(s.failure, "")
+	base := revision() - 1
+	reply := apply(base, fmt.Sprint("places", base), held) // a repeat
+	is.Equal(reply.GetState(), rpc.ApplyState_APPLY_STATE_ACCEPTED)
+	reply = apply(revision(), "more", held+block("12.0.0.0/8")+block("12.1.0.0/8"))
+	is.Equal(reply.GetState(), rpc.ApplyState_APPLY_STATE_REFUSED)
+	reply = apply(revision(), "one", text+block("10.0.0.0/8")+block("11.0.0.0/8")+block("11.1.0.0/8")) // one of two is corrected
+	is.Equal(reply.GetState(), rpc.ApplyState_APPLY_STATE_ACCEPTED)
+	reply = apply(revision(), "two", text+block("10.0.0.0/8")+block("11.0.0.0/8"))
+	is.Equal(reply.GetState(), rpc.ApplyState_APPLY_STATE_ACCEPTED)
+}
--- a/entry/gateway/service.go
+++ b/entry/gateway/service.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -10,6 +12,8 @@
 
 	"cuminfall.example/entry/forward"
 	"cuminfall.example/entry/router"
+	"cuminfall.example/fleet/document"
+	"cuminfall.example/fleet/exactjson"
 	"cuminfall.example/fleet/fault"
 	"cuminfall.example/fleet/ident"
 	"cuminfall.example/fleet/rpc"
@@ -89,8 +93,8 @@
 func (g *Gateway) lookup(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	service, workspace := query.Get("service"), query.Get("workspace")
-	if service == "" || workspace == "" {
-		writeFault(w, fault.New(fault.Invalid, "lookup", r.RemoteAddr, "service and workspace are required"), false)
+	if service == "" || workspace == "" || len(query["service"]) > 1 || len(query["workspace"]) > 1 {
+		writeFault(w, fault.New(fault.Invalid, "lookup", r.RemoteAddr, "service and workspace are required, each once"), false)
 		return
 	}
 	var client netip.Addr
@@ -127,9 +131,16 @@
 // decodeBody decodes the body of a call. If the body is invalid, it responds with an error, logs it
 // and returns false.
 func (g *Gateway) decodeBody(w http.ResponseWriter, r *http.Request, step string, dest any) bool {
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(dest); err != nil {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+	if err == nil {
+		d := json.NewDecoder(bytes.NewReader(body))
+		d.DisallowUnknownFields()
+		err = d.Decode(dest)
+	}
+	if err == nil {
+		err = exactjson.Unmarshal(body, dest)
+	}
+	if err != nil {
 		g.reject(w, fault.New(fault.Invalid, step, r.RemoteAddr, "invalid request body: %v", err))
 		return false
 	}
@@ -141,11 +152,12 @@
 	writeFault(w, f, false)
 }
 
-// validate returns the first error of an announcement.
+// validate returns the first error of an announcement, and brings its address into the form in which it is kept.
 func (a *announcement) validate(step, peer string) *fault.Error {
 	if _, err := netip.ParseAddrPort(string(a.Address)); err != nil {
 		return fault.New(fault.Invalid, step, peer, "address must be IP:port")
 	}
+	a.Address = ident.Address(document.CanonicalAddress(string(a.Address)))
 	if a.Incarnation == 0 {
 		return fault.New(fault.Invalid, step, peer, "incarnation must be above 0")
 	}
@@ -245,6 +257,9 @@
 		g.reject(w, fault.New(fault.InvalidCredential, "verdict", r.RemoteAddr, "one Authorization: Bearer CREDENTIAL is required"))
 		return
 	}
+	if v.Kind == string(document.EndpointKind) {
+		v.Target = document.CanonicalAddress(v.Target)
+	}
 	if v.State != "up" && v.State != "down" || v.Target == "" || v.Kind == "" || v.ID == "" {
 		g.reject(w, fault.New(fault.Invalid, "verdict", r.RemoteAddr, "target, kind, id and state up or down are required"))
 		return
--- a/entry/gateway/service_test.go
+++ b/entry/gateway/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -40,6 +41,10 @@
 		{"incarnation", "announce", with(`:2}`, `:0}`), "", nil, 400, fault.Invalid},
 		{"slots", "announce", with(":3", ":0"), "", nil, 400, fault.Invalid},
 		{"service name", "announce", with("forecast", "a b"), "", nil, 400, fault.Invalid},
+		{"field twice", "announce", with(`:2}`, `:2,"incarnation":3}`), "", nil, 400, fault.Invalid},
+		{"field in other letters", "announce", with(`"slots"`, `"Slots"`), "", nil, 400, fault.Invalid},
+		{"not UTF-8", "verdict", strings.Replace(verdict("down"), "d1", "\xff", 1), "Bearer m", nil, 400, fault.Invalid},
+		{"text after the body", "announce", upstream + "{}", "", nil, 400, fault.Invalid},
 		{"leave", "leave", upstream, "", nil, 200, ""},
 		{"renew", "renew", `{"address":"10.0.0.1:80","incarnation":1,"load":4}`, "", nil, 204, ""},
 		{"renew an earlier run", "renew", `{"address":"10.0.0.1:80","incarnation":9}`, "", nil, 404, fault.NotFound},
@@ -84,12 +89,21 @@
 	b.gateway.FillReport(&report)
 	b.Equal(len(report.Renewals), 1) // only the valid renewal
 	b.Equal(report.Renewals[0].Load, int64(4))
+	for call, body := range map[string]string{"announce": with("10.0.0.1:80", "10.0.0.1:080"), "renew": `{"address":"[::ffff:10.0.0.1]:80","incarnation":1}`} {
+		_, _, err := b.do(b.request("POST", apiPrefix+call, strings.NewReader(body)))
+		b.NoErr(err)
+	}
+	b.True(strings.Contains(fmt.Sprint(b.control.announced[1]), `"10.0.0.1:80"`)) // all spellings of an address are one upstream
+	b.gateway.FillReport(&report)
+	b.Equal(report.Renewals[0].Address, "10.0.0.1:80")
 	_, body, err := b.do(b.request("GET", apiPrefix+"lookup?service=forecast&workspace=w1", nil))
 	b.NoErr(err)
 	b.Equal(body, `{"vms":[{"name":"e1","address":"127.0.0.1:1","region":"r1"}],"lifetime":"5s"}`+"\n")
-	response, _, err := b.do(b.request("GET", apiPrefix+"lookup?service=forecast", nil))
-	b.NoErr(err)
-	b.Equal(response.StatusCode, 400)
+	for _, query := range []string{"service=forecast", "service=forecast&service=other&workspace=w1", "service=forecast&workspace=w1&workspace=w2"} {
+		response, _, err := b.do(b.request("GET", apiPrefix+"lookup?"+query, nil))
+		b.NoErr(err)
+		b.Equal(response.StatusCode, 400)
+	}
 }
 
 // Guards against invalid input of a caller that is not logged, or logged twice.
--- a/fleet/document/document.go
+++ b/fleet/document/document.go
@@ -183,6 +183,11 @@
 		return nil, err
 	}
 	md, err := toml.Decode(text, content)
+	if err != nil || len(misspelledKeys(&md, content)) > 0 {
+		if content, err = newContent(name); err == nil {
+			err = decodeInOrder(text, content)
+		}
+	}
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "parse section", string(name), "%v", err)
 	}
