--- a/entry/proxy/serve.go
+++ b/entry/proxy/serve.go
@@ -146,6 +146,9 @@
 		}
 		return &refusal{status: http.StatusUnauthorized, reason: "API key is missing or unknown"}
 	}
+	if workspace.Name != "" && !catalog.IsSendable(workspace.Name) { // accepted by an earlier build
+		return &refusal{status: http.StatusServiceUnavailable, reason: "the name of the key's workspace cannot be sent to upstreams", retryAfter: maxRetryAfter}
+	}
 	c.workspace = workspace.Name
 	if workspace.Priority != nil {
 		c.priority = *workspace.Priority
--- a/entry/proxy/spelling_test.go
+++ b/entry/proxy/spelling_test.go
@@ -3,9 +3,13 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"cuminfall.example/fleet/catalog"
+	"cuminfall.example/fleet/ident"
 )
 
 // Guards against a request that crashes upstreams and passes the quarantine because its host is spelled in another way, by which
@@ -26,3 +30,26 @@
 	is.True(head("jepu8.example", "/x/1?q=A") != want)
 	is.True(head("jepu9.example", "/x/1?q=a") != want)
 }
+
+// Guards against a workspace, accepted by an earlier build, whose name adds a header field to its requests.
+func TestNameOfWorkspaceAddsNoHeaderField(t *testing.T) {
+	is := is.New(t)
+	var forged atomic.Int32
+	fx := newFixture(t, 100, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Forged") != "" {
+			forged.Add(1)
+		}
+	})
+	next := *fx.catalog
+	next.Workspaces = map[ident.Workspace]catalog.Workspace{}
+	for key, name := range map[string]ident.Workspace{"key": "w\r\nX-Forged: 1", "other": "w"} {
+		next.Workspaces[name] = catalog.Workspace{Name: name, Keys: []string{key}}
+	}
+	fx.registry.Catalog = &next
+	fx.Update(fx.registry)
+	response, _ := fx.post("/safe/x", "", "key")
+	is.Equal(forged.Load(), int32(0))
+	is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+	_, _ = fx.post("/safe/x", "", "other")
+	is.Equal(fx.upstreamRequests.Load(), int32(1))
+}
--- a/fleet/catalog/change.go
+++ b/fleet/catalog/change.go
@@ -192,7 +192,8 @@
 		r.Host, other.Host, r.Prefix, other.Prefix)
 }
 
-// checkKeys returns an error if a key of a changed workspace is empty or belongs to another workspace, too.
+// checkKeys returns an error if the name of a changed workspace cannot be sent, or if a key of it is empty or belongs to
+// another workspace, too.
 func checkKeys(all, changed map[ident.Workspace]Workspace) error {
 	if len(changed) == 0 {
 		return nil
@@ -204,6 +205,9 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(changed)) {
+		if !IsSendable(name) {
+			return fault.New(fault.Invalid, checkStep, "", "workspace %q has a name that no header field can carry", name)
+		}
 		for _, k := range changed[name].Keys {
 			canonical := CanonicalKey(k)
 			if canonical == "" {
--- a/fleet/catalog/spelling.go
+++ b/fleet/catalog/spelling.go
@@ -4,7 +4,10 @@
 	"net/netip"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/net/idna"
+
+	"cuminfall.example/fleet/ident"
 )
 
 // hostNames converts hosts with letters outside ASCII to the form in which callers send them.
@@ -112,3 +115,9 @@
 // CanonicalKey returns the form that all spellings of a workspace key have in common: without the white space around it,
 // which header fields do not keep.
 func CanonicalKey(key string) string { return strings.TrimSpace(key) }
+
+// IsSendable reports whether upstreams can tell a workspace from all others by the header field that carries its name: an empty
+// name is that of no workspace, white space around it is lost, and a line end would begin another field.
+func IsSendable(name ident.Workspace) bool {
+	return name != "" && strings.TrimSpace(string(name)) == string(name) && httpguts.ValidHeaderFieldValue(string(name))
+}
--- a/fleet/catalog/spelling_test.go
+++ b/fleet/catalog/spelling_test.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// Guards against workspaces that upstreams cannot tell apart, and against a name that adds header fields to requests.
+func TestNamesThatCannotBeSent(t *testing.T) {
+	for _, name := range []ident.Workspace{"", " t", "t\u00a0", "t\r\nTenant: u", "t\x00"} {
+		ch := patchOf()
+		ch.Workspaces = map[ident.Workspace]Workspace{name: {Name: name, Keys: []string{"k"}}}
+		refusedNaming(t, catalogOf().Apply(ch).CheckChange(ch), string(name))
+	}
+	ch := patchOf()
+	ch.Workspaces = map[ident.Workspace]Workspace{"t u": {Keys: []string{"k"}}, "ä": {Keys: []string{"l"}}, "T u": {Keys: []string{"m"}}}
+	is.New(t).NoErr(catalogOf().Apply(ch).CheckChange(ch))
+}
+
 // Guards against a catalog of an earlier build that two VMs index differently, as chance decided between routes that differ only in
 // spelling, and against routes that were kept apart by it and no longer are.
 func TestAcceptedCatalogIsIndexedAlike(t *testing.T) {
