--- a/fleet/exactjson/exactjson.go
+++ b/fleet/exactjson/exactjson.go
@@ -1,6 +1,8 @@
 package exactjson
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"reflect"
 	"strconv"
@@ -24,8 +26,8 @@
 	if !utf8.Valid(data) {
 		return errors.Errorf("the text is not valid UTF-8 at byte %d", invalidOffset(data))
 	}
-	c := &checker{data: data}
-	c.value(reflect.TypeOf(target), nil)
+	c := &checker{data: data, fields: map[reflect.Type][]field{}}
+	c.value(reflect.TypeOf(target))
 	return c.err
 }
 
@@ -44,31 +46,42 @@
 
 // checker walks through valid JSON.
 type checker struct {
-	data []byte
-	pos  int
-	err  error
+	data   []byte
+	pos    int
+	path   []step // to the value that is being read
+	fields map[reflect.Type][]field
+	err    error
 }
 
-// location is a member or element and what it is in; nil is the whole text.
-type location struct {
-	parent *location
-	name   string
+// step leads from an object to a member, or from an array to an element if it has no name.
+type step struct {
+	name  []byte
+	index int
 }
 
-// String returns the names of the members from the outermost on.
-func (l *location) String() string {
-	if l == nil {
+// field is a field of a struct by its name in JSON.
+type field struct {
+	name  string
+	value reflect.Type
+}
+
+// location returns the names and indexes that lead to the value that is being read.
+func (c *checker) location() string {
+	if len(c.path) == 0 {
 		return "the text"
 	}
-	if l.parent == nil {
-		return l.name
+	parts := make([]string, len(c.path))
+	for i, s := range c.path {
+		if parts[i] = string(s.name); s.name == nil {
+			parts[i] = strconv.Itoa(s.index)
+		}
 	}
-	return l.parent.String() + "." + l.name
+	return strings.Join(parts, ".")
 }
 
 // member is a member of an object that was read, with its offset.
 type member struct {
-	name   string
+	name   []byte
 	offset int
 }
 
@@ -84,19 +97,19 @@
 // add adds a member, and returns the offset of an earlier one with the same name.
 func (s *seenMembers) add(m member) (earlier int, repeated bool) {
 	if s.byName != nil {
-		earlier, repeated = s.byName[m.name]
-		s.byName[m.name] = m.offset
+		earlier, repeated = s.byName[string(m.name)]
+		s.byName[string(m.name)] = m.offset
 		return earlier, repeated
 	}
 	for _, other := range s.list {
-		if other.name == m.name {
+		if bytes.Equal(other.name, m.name) {
 			return other.offset, true
 		}
 	}
 	if s.list = append(s.list, m); len(s.list) == manyMembers {
 		s.byName = make(map[string]int, 2*manyMembers)
 		for _, other := range s.list {
-			s.byName[other.name] = other.offset
+			s.byName[string(other.name)] = other.offset
 		}
 	}
 	return 0, false
@@ -122,16 +135,15 @@
 }
 
 // value walks through a value that is decoded into a type, which is nil if it is not decoded.
-func (c *checker) value(t reflect.Type, at *location) {
-	t = decodedType(t)
+func (c *checker) value(t reflect.Type) {
 	switch c.space() {
 	case 0:
 	case '{':
-		c.object(t, at)
+		c.object(decodedType(t))
 	case '[':
-		c.array(t, at)
+		c.array(decodedType(t))
 	case '"':
-		c.text(at)
+		c.text()
 	default:
 		for c.pos < len(c.data) && strings.IndexByte(",]} \t\r\n", c.data[c.pos]) < 0 {
 			c.pos++
@@ -139,8 +151,15 @@
 	}
 }
 
+// inner walks through a value within the present one.
+func (c *checker) inner(s step, t reflect.Type) {
+	c.path = append(c.path, s)
+	c.value(t)
+	c.path = c.path[:len(c.path)-1]
+}
+
 // array walks through an array.
-func (c *checker) array(t reflect.Type, at *location) {
+func (c *checker) array(t reflect.Type) {
 	var element reflect.Type
 	if t != nil && (t.Kind() == reflect.Slice || t.Kind() == reflect.Array) {
 		element = t.Elem()
@@ -156,12 +175,12 @@
 		case ',':
 			c.pos++
 		}
-		c.value(element, &location{at, strconv.Itoa(i)})
+		c.inner(step{index: i}, element)
 	}
 }
 
 // object walks through an object and compares its members with each other and with the fields of a struct.
-func (c *checker) object(t reflect.Type, at *location) {
+func (c *checker) object(t reflect.Type) {
 	var seen seenMembers
 	c.pos++ // the opening brace
 	for {
@@ -176,22 +195,22 @@
 			c.space()
 		}
 		m := member{offset: c.pos}
-		if m.name = c.text(at); c.err != nil {
+		if m.name = c.text(); c.err != nil {
 			return
 		}
 		if earlier, repeated := seen.add(m); repeated {
-			c.fail("member %q of %s at byte %d is there already at byte %d", m.name, at, m.offset, earlier)
+			c.fail("member %q of %s at byte %d is there already at byte %d", m.name, c.location(), m.offset, earlier)
 			return
 		}
 		c.space()
 		c.pos++ // the colon
-		c.value(c.memberType(t, m, at), &location{at, m.name})
+		c.inner(step{name: m.name}, c.memberType(t, m))
 	}
 }
 
 // memberType returns the type that a member is decoded into, or nil if it is unknown. A member that only differs from a
 // field in the case of letters is an error, as encoding/json takes it for the field.
-func (c *checker) memberType(t reflect.Type, m member, at *location) reflect.Type {
+func (c *checker) memberType(t reflect.Type, m member) reflect.Type {
 	switch {
 	case t == nil:
 		return nil
@@ -200,28 +219,37 @@
 	case t.Kind() != reflect.Struct:
 		return nil
 	}
-	similar := ""
-	for i := range t.NumField() {
-		field := t.Field(i)
-		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
-		if name == "" {
-			name = field.Name
-		}
-		if name == m.name {
-			return field.Type
-		}
-		if strings.EqualFold(name, m.name) {
-			similar = name
+	fields := c.fieldsOf(t)
+	for _, f := range fields {
+		if f.name == string(m.name) {
+			return f.value
 		}
 	}
-	if similar != "" {
-		c.fail("member %q of %s at byte %d differs from %q in the case of letters", m.name, at, m.offset, similar)
+	for _, f := range fields {
+		if strings.EqualFold(f.name, string(m.name)) {
+			c.fail("member %q of %s at byte %d differs from %q in the case of letters", m.name, c.location(), m.offset, f.name)
+		}
 	}
 	return nil
 }
 
+// fieldsOf returns the fields of a struct.
+func (c *checker) fieldsOf(t reflect.Type) []field {
+	if list, known := c.fields[t]; known {
+		return list
+	}
+	var list []field
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		list = append(list, field{cmp.Or(name, f.Name), f.Type})
+	}
+	c.fields[t] = list
+	return list
+}
+
 // text walks through a string and returns it.
-func (c *checker) text(at *location) string {
+func (c *checker) text() []byte {
 	start, escaped := c.pos, false
 	for c.pos++; c.pos < len(c.data) && c.data[c.pos] != '"'; c.pos++ {
 		if c.data[c.pos] == '\\' {
@@ -232,7 +260,7 @@
 	c.pos++ // the closing quote
 	quoted := c.data[start:min(c.pos, len(c.data))]
 	if !escaped {
-		return string(quoted[1 : len(quoted)-1])
+		return quoted[1 : len(quoted)-1]
 	}
 	var text string
 	if err := json.Unmarshal(quoted, &text); err != nil {
@@ -240,9 +268,9 @@
 	}
 	// encoding/json replaces half of a surrogate pair, as it does with bytes that are not UTF-8.
 	if replaced := strings.Count(text, "\uFFFD"); replaced > 0 && replaced != replacementCharacters(quoted) {
-		c.fail("the string at byte %d in %s has half of a surrogate pair", start, at)
+		c.fail("the string at byte %d in %s has half of a surrogate pair", start, c.location())
 	}
-	return text
+	return []byte(text)
 }
 
 // replacementCharacters returns how often U+FFFD is written in a string in JSON, with or without an escape.
--- a/fleet/exactjson/exactjson_test.go
+++ b/fleet/exactjson/exactjson_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 )
@@ -80,3 +81,57 @@
 	}
 	is.True(Unmarshal([]byte(`{} {}`), &document{}) != nil)
 }
+
+// FuzzCheck compares the members that Check finds repeated with those that encoding/json's tokens show.
+func FuzzCheck(f *testing.F) {
+	f.Add(`{"a":{"b":[1,{"c":"\u0064"}]},"a":2}`)
+	f.Add(`[{"x":1},{"x":1,"\u0078":null}," \ud800"]`)
+	f.Fuzz(func(t *testing.T, text string) {
+		var value any
+		if json.Unmarshal([]byte(text), &value) != nil || strings.Contains(text, `\u`) || !utf8.ValidString(text) {
+			return
+		}
+		if err := Check([]byte(text), value); (err != nil) != hasRepeatedMember(json.NewDecoder(strings.NewReader(text))) {
+			t.Errorf("%q: %v", text, err)
+		}
+	})
+}
+
+// hasRepeatedMember reports whether an object in JSON has two members of one name.
+func hasRepeatedMember(d *json.Decoder) bool {
+	type container struct {
+		names map[string]bool // nil for an array
+		key   bool            // a name comes next
+	}
+	var open []*container
+	for {
+		token, err := d.Token()
+		if err != nil {
+			return false
+		}
+		var current *container
+		if len(open) > 0 {
+			current = open[len(open)-1]
+		}
+		if name, isText := token.(string); isText && current != nil && current.key {
+			if current.names[name] {
+				return true
+			}
+			current.names[name], current.key = true, false
+			continue
+		}
+		switch token {
+		case json.Delim('{'):
+			open = append(open, &container{map[string]bool{}, true})
+			continue
+		case json.Delim('['):
+			open = append(open, &container{})
+			continue
+		case json.Delim('}'), json.Delim(']'):
+			open = open[:len(open)-1]
+		}
+		if len(open) > 0 && open[len(open)-1].names != nil {
+			open[len(open)-1].key = true
+		}
+	}
+}
