coordinator: refuse a change only behind all that is in the leader's log

Seen by operators of a group of mixed builds: a change that a leader of the earlier build had taken, and whose commit a stalled disk held up, was refused when the operator repeated it at a member of this build, and was in force later; so was one built on it, as its base was not known yet.

Cause: the member judged on top of what was committed. What is in the leader's log may be committed later. Change: before a refusal an empty command is committed behind it, which members of all builds apply alike.

The set-up of the stalled disks is shared with the test of claims.

--- a/control/coordinator/change.go
+++ b/control/coordinator/change.go
@@ -29,8 +29,9 @@
 }
 
 // reviewChange returns the result of a change if it is final before the change is replicated. If it is not, the change builds on the
-// version that this member has, and nothing speaks against it there. A refusal counts only on top of all that was committed
-// when the change came: this member may lag behind, and the change may be a repeat of one that was accepted.
+// version that this member has, and nothing speaks against it there. A refusal counts only on top of all that was in the leader's
+// log when the change came: this member may lag behind, and a copy of the change, which a leader of an earlier build took, may be
+// committed later.
 func (c *Coordinator) reviewChange(ctx context.Context, change *catalog.Change, objection error) (result registry.Result, final bool, err error) {
 	assess := func() (a registry.Assessment, index ident.Index) {
 		c.opts.StateMachine.view(func(r *registry.Registry) {
@@ -41,7 +42,7 @@
 	}
 	assessment, index := assess()
 	if assessment == registry.Refused || assessment == registry.BaseUnknown {
-		if err := c.catchUp(ctx); err != nil {
+		if err := c.catchUpWithLog(ctx); err != nil {
 			return registry.Result{}, false, err
 		}
 		assessment, index = assess()
@@ -61,6 +62,15 @@
 	return result, true, nil
 }
 
+// catchUpWithLog waits until this member has applied all that was in the leader's log when it was called, also what was not yet
+// committed. To that end it has an empty command committed behind it.
+func (c *Coordinator) catchUpWithLog(ctx context.Context) error {
+	if _, err := c.Submit(ctx, registry.Command{}); err != nil {
+		return err
+	}
+	return c.catchUp(ctx)
+}
+
 // catchUp waits until this member has applied all that was committed when it was called.
 func (c *Coordinator) catchUp(ctx context.Context) error {
 	position, err := c.OrderPosition(ctx)
--- a/control/coordinator/change_test.go
+++ b/control/coordinator/change_test.go
@@ -185,3 +185,47 @@
 		is.Equal(assessed.Code, fault.Invalid)
 	}
 }
+
+// Guards against a change that is refused while a copy of it, which a leader of an earlier build took into its log, is not committed
+// yet, and that is in force later.
+func TestRefusalWaitsForCopyUnderWay(t *testing.T) {
+	is := is.New(t)
+	members, disks := startStallableGroup(t)
+	accept(t, catalogChange(0, 1, "first"), members...)
+	accept(t, routeChange(1, 2, "second", [3]string{"a", "h", "/"}), members...)
+	leader, _ := currentLeader(t, members)
+	resume := stallDisks(disks)
+	defer resume()
+	copies := []*catalog.Change{routeChange(2, 3, "ambiguous", [3]string{"b", "H", "/"}), routeChange(3, 4, "on top", [3]string{"c", "H.", "/"})}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	outcomes := make(chan any, len(copies))
+	for _, ch := range copies {
+		go func() {
+			result, err := leader.opts.Replica.Propose(ctx, registry.Command{Change: ch}.Encode())
+			outcomes <- []any{result, err}
+		}()
+		time.Sleep(100 * time.Millisecond) // in this order
+	}
+	var wg sync.WaitGroup
+	for _, m := range members {
+		for _, ch := range copies {
+			wg.Go(func() {
+				if result, err := m.Change(ctx, ch, nil); err == nil && result.Code != "" {
+					t.Errorf("change %s was refused: %s", ch.Digest, result.Reason)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	resume()
+	for _, ch := range copies {
+		for _, m := range members {
+			eventually(t, "the change is acknowledged again", func() bool {
+				result, err := m.Change(ctx, ch, nil)
+				return err == nil && result == registry.Result{}
+			})
+		}
+		is.Equal(<-outcomes, []any{registry.Result{}, nil})
+	}
+}
--- a/control/coordinator/stall_test.go
+++ b/control/coordinator/stall_test.go
@@ -40,15 +40,16 @@
 	return f.File.Sync()
 }
 
-// Guards against VMs whose reports fail, and which learn of no crash, because a claim waits for stalled disks.
-func TestReportWithClaimIsAnsweredWhileDisksStall(t *testing.T) {
-	is := is.New(t)
-	members := startGroup(t)[:3]
-	var disks []*stallableDisk
+// startStallableGroup starts a group and returns three of its four members, whose disks can be stalled together.
+func startStallableGroup(t *testing.T) (members []*member, disks []*stallableDisk) {
+	t.Helper()
+	members = startGroup(t)[:3]
 	for _, m := range members {
 		m.stop()
 		folder, err := journal.OpenFolder(m.folder)
-		is.NoErr(err)
+		if err != nil {
+			t.Fatal(err)
+		}
 		disk := &stallableDisk{Disk: folder}
 		m.disk = disk
 		disks = append(disks, disk)
@@ -56,18 +57,30 @@
 	for _, m := range members {
 		m.start()
 	}
-	var facts observation.Set
-	addAll(&facts, crashes("deadly", "u", "v", "w"))
-	eventually(t, "the leader has the crashes", func() bool { return reportFacts(members[1], "a", &facts) })
-	leader, _ := currentLeader(t, members)
+	return members, disks
+}
+
+// stallDisks stalls disks until the function that it returns is called.
+func stallDisks(disks []*stallableDisk) (resume func()) {
 	for _, d := range disks {
 		d.stall.Lock()
 	}
-	resume := sync.OnceFunc(func() {
+	return sync.OnceFunc(func() {
 		for _, d := range disks {
 			d.stall.Unlock()
 		}
 	})
+}
+
+// Guards against VMs whose reports fail, and which learn of no crash, because a claim waits for stalled disks.
+func TestReportWithClaimIsAnsweredWhileDisksStall(t *testing.T) {
+	is := is.New(t)
+	members, disks := startStallableGroup(t)
+	var facts observation.Set
+	addAll(&facts, crashes("deadly", "u", "v", "w"))
+	eventually(t, "the leader has the crashes", func() bool { return reportFacts(members[1], "a", &facts) })
+	leader, _ := currentLeader(t, members)
+	resume := stallDisks(disks)
 	defer resume()
 	claim := observation.Fact{Kind: observation.Claim, Subject: "deadly", VM: "a", Round: 1}
 	addAll(&facts, []observation.Fact{claim})
--- a/control/coordinator/statemachine.go
+++ b/control/coordinator/statemachine.go
@@ -105,6 +105,8 @@
 		fields["event"], fields["vm"], fields["up"], fields["incarnation"] = "vm", c.VM.Name, c.VM.Up, c.VM.Incarnation
 	case c.Keep != nil:
 		fields["event"], fields["added"], fields["forgotten"] = "keep", len(c.Keep.Add), len(c.Keep.Forget)
+	default:
+		fields["event"] = "mark"
 	}
 	m.log.Event(logrus.InfoLevel, "register", fields, "registry changed")
 }
