document: refuse what earlier builds refuse, with the same texts

A service section that lists numbers in place of tables was accepted since the decoding in order: the TOML library decodes a value that is no table into an empty map without an error.

--- a/fleet/document/ambiguity.go
+++ b/fleet/document/ambiguity.go
@@ -151,10 +151,10 @@
 }
 
 func decodeValue(md *toml.MetaData, value toml.Primitive, target reflect.Value) error {
-	var table map[string]toml.Primitive
+	var table map[string]toml.Primitive // stays nil, without an error, if the value is no table
 	var list []toml.Primitive
 	switch t := target.Type(); {
-	case isTable(t) && md.PrimitiveDecode(value, &table) == nil:
+	case isTable(t) && md.PrimitiveDecode(value, &table) == nil && table != nil:
 		return decodeTable(md, table, target)
 	case t.Kind() == reflect.Slice && isTable(t.Elem()) && md.PrimitiveDecode(value, &list) == nil:
 		target.Set(reflect.MakeSlice(t, len(list), len(list)))
--- a/fleet/document/ambiguity_test.go
+++ b/fleet/document/ambiguity_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"github.com/BurntSushi/toml"
 	"github.com/matryer/is"
 
 	"cuminfall.example/fleet/fault"
@@ -54,3 +55,50 @@
 		}
 	}
 }
+
+// Guards against texts of errors that differ from those of earlier builds: members store them as outcomes of changes, and must come
+// to one state.
+func TestErrorsOfEarlierBuildsStay(t *testing.T) {
+	for _, c := range []struct {
+		section Section
+		text    string
+	}{
+		{ServicesSection, "service=1"}, {ServicesSection, "[service]\nname='x'"}, {ServicesSection, "service=[1,2]"}, {ServicesSection, "[[service]]\nname='x'\n[[service]]\nprefix=['x']"},
+		{ServicesSection, "[[service]]\nname='x'\nlongest='x'"}, {ServicesSection, "[[service]]\nbody=99999999999999999999"}, {ServicesSection, "[[service]]\nBODY='x'"},
+		{ServicesSection, "[[service]]\nname='x'\nname='y'"}, {ServicesSection, "[[service"}, {ServicesSection, "[[service]]\nname='\xff'"},
+		{TopologySection, "[[block]]\nprefix='10.0.0.0/99'"}, {TopologySection, "[[block]]\nprefix=7"}, {TopologySection, "block=[{prefix='x'}]"}, {TopologySection, "[[region]]\ncapacity=-1"},
+		{TopologySection, "region=[{name='a'},{name=1}]"}, {TopologySection, "[[region]]\ncapacity=1.5\n"}, {WorkspacesSection, "[[workspace]]\nname='w'\n[[workspace.key]]\nwithdrawn='x'"},
+		{WorkspacesSection, "[[workspace]]\nname='w'\nkey=3"}, {WorkspacesSection, "[[workspace]]\nrate='x'"}, {OwnersSection, "[[operator]]\nsections='owners'"}, {OwnersSection, "[[operator]]\nsections=[1]"},
+		{ShiftsSection, "[[shift]]\nshare='x'"}, {DrainsSection, "drain='x'"}, {DrainsSection, "[[drain]]\nkind=2"},
+	} {
+		content, err := newContent(c.section)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, earlier := toml.Decode(c.text, content)
+		if _, err = Parse(c.section, c.text); earlier == nil || err == nil || fault.Of(err).Message != earlier.Error() {
+			t.Errorf("%s: the error is %v, and was %v", c.text, err, earlier)
+		}
+	}
+}
+
+// FuzzParseAcceptsTheSame guards against a text that earlier builds accept and this one does not, or the other way round.
+func FuzzParseAcceptsTheSame(f *testing.F) {
+	f.Add("[[service]]\nname='x'\nNAME='y'\nprefix=1\n[[Service]]\nlongest='1s'\n")
+	f.Add("[[region]]\nname='a'\n[[domain]]\nregion='a'\nRegion=2\n[[block]]\nprefix='10.0.0.0/8'\n[[link]]\nrate=1.5\n")
+	f.Add("[[workspace]]\nname='w'\n[[workspace.key]]\nid='k'\nWithdrawn=true\nkey=3\n")
+	f.Add("service=[1,{name='x'}]\nDRAIN=[[{kind='vm'}]]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, section := range Sections {
+			content, err := newContent(section)
+			if err != nil {
+				t.Fatal(err)
+			}
+			md, err := toml.Decode(text, content)
+			accepted := err == nil && len(md.Undecoded()) == 0
+			if _, err := Parse(section, text); (err == nil) != accepted {
+				t.Errorf("%s: %q: the error is %v, accepted before: %v", section, text, err, accepted)
+			}
+		}
+	})
+}
--- a/fleet/document/document.go
+++ b/fleet/document/document.go
@@ -184,9 +184,11 @@
 	}
 	md, err := toml.Decode(text, content)
 	if err != nil || len(misspelledKeys(&md, content)) > 0 {
-		if content, err = newContent(name); err == nil {
-			err = decodeInOrder(text, content)
+		ordered, _ := newContent(name) // known, as above
+		if first := decodeInOrder(text, ordered); first != nil {
+			err = first
 		}
+		content = ordered
 	}
 	if err != nil {
 		return nil, fault.New(fault.Invalid, "parse section", string(name), "%v", err)
