catalog: ignore white space around a host

A Host field does not keep it, so that a route of such a host was found by no request. TestSpellingsOfOnePlace and TestHostsThatCannotBeRead have the cases.

--- a/fleet/catalog/spelling.go
+++ b/fleet/catalog/spelling.go
@@ -13,12 +13,12 @@
 // hostNames converts hosts with letters outside ASCII to the form in which callers send them.
 var hostNames = idna.New(idna.MapForLookup(), idna.Transitional(false), idna.StrictDomainName(false))
 
-// canonicalHost returns the form that all spellings of a host have in common: without a port and without a last dot, in
-// lower case, and in ASCII. The error says why a host outside ASCII has no such form; it is then returned in lower case.
+// canonicalHost returns the form that all spellings of a host have in common: without white space around it, a port and a last dot,
+// in lower case, and in ASCII. The error says why a host outside ASCII has no such form; it is then returned in lower case.
 //
 // A port is left out because it names the listener that a caller connected to, not the site that it asks for.
 func canonicalHost(host string) (string, error) {
-	name := withoutPort(host)
+	name := withoutPort(strings.TrimSpace(host))
 	var err error
 	if isASCII(name) {
 		name = strings.ToLower(name)
--- a/fleet/catalog/spelling_test.go
+++ b/fleet/catalog/spelling_test.go
@@ -14,7 +14,7 @@
 
 // spelledHosts are hosts with spellings that mean the same.
 var spelledHosts = map[string][]string{
-	"jepu9.example":         {"JEPU9.Example", "jepu9.example.", "jepu9.example:8389", "Jepu9.EXAMPLE.:80", "jepu9.example:", "jepu9\u3002example"},
+	"jepu9.example":         {"JEPU9.Example", "jepu9.example.", "jepu9.example:8389", "Jepu9.EXAMPLE.:80", "jepu9.example:", " jepu9.example\t", "jepu9\u3002example"},
 	"xn--pfel-koa.example":  {"äpfel.example", "ÄPFEL.example", "a\u0308pfel.example", "XN--PFEL-KOA.example.", "äpfel.example:80"},
 	"keli.example":          {"\u212aeli.example", "KELI.example", "\uff4beli.example"},
 	"strasse.example":       {"STRASSE.example"},
@@ -123,7 +123,7 @@
 
 // Guards against hosts that no request can have.
 func TestHostsThatCannotBeRead(t *testing.T) {
-	for _, host := range []string{".", ":80", ".:80", "\u200d\u0300.example", "a\u2260b\ufffd.example"} {
+	for _, host := range []string{".", ":80", ".:80", " ", "\u200d\u0300.example", "a\u2260b\ufffd.example"} {
 		ch := patchOf(route("a", host, "/"))
 		refusedNaming(t, catalogOf().Apply(ch).CheckChange(ch), "a", host)
 	}
